--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,4 @@
+"""Tests, run by behave."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/admission.py
@@ -0,0 +1,231 @@
+"""Decides which waiting request goes next and which is refused at once.
+
+Each priority class has a bounded queue ordered by start-time fair queueing
+over workspaces (Goyal, Vin and Chen, 1996): a workspace that floods pushes
+only its own requests back.  The cost of a decision grows with the
+logarithm of the queue, not with the number of workspaces.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import collections
+import heapq
+import itertools
+import math
+from typing import Any, NamedTuple
+
+from . import rendezvous
+
+CLASSES = 8
+# Weight of the newest interval in the estimate of the drain rate.
+SMOOTHING = 0.1
+SHORTEST_RETRY_S = 1.0
+LONGEST_RETRY_S = 60.0
+# Callers are told to come back within this factor after the earliest time.
+RETRY_SPREAD = 1.0
+
+
+class Waiting(NamedTuple):
+    """A request in the queue; sorts by its tag, then by arrival.
+
+    Attributes:
+      tag: Virtual start time.
+      number: Arrival number.
+      id: Id of the request.
+      workspace: Its workspace.
+      priority: Its class, 0 the most urgent.
+      deadline: Monotonic seconds by which it must have started.
+      item: What the caller of this module queued.
+    """
+
+    tag: float
+    number: int
+    id: str
+    workspace: str
+    priority: int
+    deadline: float
+    item: Any
+
+
+class Refusal(NamedTuple):
+    """Why a request was not queued, or no longer is.
+
+    Attributes:
+      code: "queue-full", "deadline" or "displaced".
+      retry_after_s: Seconds after which to come back.
+      waiting: The request concerned.
+    """
+
+    code: str
+    retry_after_s: float
+    waiting: Waiting
+
+
+class _Class:
+    """The queue of one priority class."""
+
+    def __init__(self) -> None:
+        self.heap: list[Waiting] = []
+        self.live: set[int] = set()
+        self.virtual = 0.0
+        self.finish: dict[str, float] = {}
+        self.rows_by_workspace: dict[str, collections.deque[Waiting]] = {}
+        self._greedy: list[tuple[int, str]] = []
+
+    def tag(self, workspace: str) -> float:
+        return max(self.virtual, self.finish.get(workspace, 0.0))
+
+    def push(self, entry: Waiting, cost: float) -> None:
+        self.finish[entry.workspace] = entry.tag + cost
+        self.live.add(entry.number)
+        rows = self.rows_by_workspace.setdefault(
+            entry.workspace, collections.deque()
+        )
+        rows.append(entry)
+        heapq.heappush(self.heap, entry)
+        heapq.heappush(self._greedy, (-len(rows), entry.workspace))
+
+    def head(self) -> Waiting | None:
+        while self.heap and self.heap[0].number not in self.live:
+            heapq.heappop(self.heap)
+        if self.heap:
+            return self.heap[0]
+        self.finish.clear()
+        self._greedy.clear()
+        return None
+
+    def serve(self, entry: Waiting) -> None:
+        self.virtual = max(self.virtual, entry.tag)
+        self.forget(entry)
+
+    def forget(self, entry: Waiting) -> None:
+        self.live.discard(entry.number)
+        rows = self.rows_by_workspace[entry.workspace]
+        rows.remove(entry)
+        if not rows:
+            del self.rows_by_workspace[entry.workspace]
+
+    def greediest(self) -> str:
+        """Return the workspace with the most requests waiting."""
+        while True:
+            count, name = self._greedy[0]
+            real = len(self.rows_by_workspace.get(name, ()))
+            if real == -count:
+                return name
+            heapq.heappop(self._greedy)
+            if real:
+                heapq.heappush(self._greedy, (-real, name))
+
+
+class Queue:
+    """Requests for one target that wait for a slot at one entry."""
+
+    def __init__(self, *, limit: int) -> None:
+        """Make a queue that holds at most limit requests a class."""
+        self.limit = limit
+        self._classes = [_Class() for _ in range(CLASSES)]
+        self._numbers = itertools.count()
+        self._gap_s: float | None = None
+        self._last_take: float | None = None
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(item.live) for item in self._classes)
+
+    def offer(
+        self,
+        *,
+        id: str,
+        workspace: str,
+        weight: float,
+        priority: int,
+        deadline: float,
+        now: float,
+        item: Any,
+    ) -> tuple[Waiting | None, Refusal | None]:
+        """Queue a request or refuse one.
+
+        Returns:
+          The queued request, or None; and a refusal, or None.  Both are
+          there when the newcomer displaced one of a greedier workspace.
+        """
+        queue = self._classes[priority]
+        entry = Waiting(
+            queue.tag(workspace),
+            next(self._numbers),
+            id,
+            workspace,
+            priority,
+            deadline,
+            item,
+        )
+        if now + self.wait_s(priority) > deadline:
+            return None, self._refusal("deadline", entry)
+        refusal = None
+        if len(queue.live) >= self.limit:
+            worst = self._displaced(queue, workspace)
+            if worst is None:
+                return None, self._refusal("queue-full", entry)
+            queue.forget(worst)
+            refusal = self._refusal("displaced", worst)
+        queue.push(entry, 1 / weight)
+        return entry, refusal
+
+    def head(self) -> Waiting | None:
+        """Return the request to serve next, leaving it in the queue."""
+        for queue in self._classes:
+            entry = queue.head()
+            if entry is not None:
+                return entry
+        return None
+
+    def take(self, entry: Waiting, now: float) -> None:
+        """Take the head out, to be served."""
+        self._classes[entry.priority].serve(entry)
+        self._note_take(now)
+
+    def drop(self, entry: Waiting) -> bool:
+        """Take a request out, as when its caller left; False if gone."""
+        queue = self._classes[entry.priority]
+        if entry.number not in queue.live:
+            return False
+        queue.forget(entry)
+        return True
+
+    def wait_s(self, priority: int) -> float:
+        """Estimate how long a newcomer of a class waits, in seconds."""
+        if self._gap_s is None:
+            return 0.0
+        classes = self._classes[: priority + 1]
+        return self._gap_s * sum(len(item.live) for item in classes)
+
+    def retry_after_s(self, id: str, priority: int) -> float:
+        """Return when to come back, spread by id so that none crowd."""
+        base = max(SHORTEST_RETRY_S, self.wait_s(priority))
+        spread = rendezvous.score(id, "retry") / 2**64
+        return min(base * (1 + RETRY_SPREAD * spread), LONGEST_RETRY_S)
+
+    def _displaced(self, queue: _Class, workspace: str) -> Waiting | None:
+        """Find the last request of a workspace that waits for more."""
+        rows = queue.rows_by_workspace
+        greedy = queue.greediest()
+        if len(rows[greedy]) <= len(rows.get(workspace, ())) + 1:
+            return None
+        return rows[greedy][-1]
+
+    def _note_take(self, now: float) -> None:
+        """Measure the gap between takes while requests are waiting."""
+        last, self._last_take = self._last_take, now
+        if not len(self):
+            self._last_take = None
+        if last is None:
+            return
+        gap = now - last
+        if self._gap_s is None:
+            self._gap_s = gap
+        self._gap_s += SMOOTHING * (gap - self._gap_s)
+
+    def _refusal(self, code: str, entry: Waiting) -> Refusal:
+        after = self.retry_after_s(entry.id, entry.priority)
+        return Refusal(code, math.ceil(after), entry)
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/fold.py
@@ -0,0 +1,285 @@
+"""Folds the log's records into the configuration.
+
+The fold is a pure function of the state and the record, so every reader
+reaches the same verdicts.  The log need not compare before it appends: of
+two conflicting confirmations the first in offset order wins.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from collections.abc import Iterable
+from typing import Any
+
+from . import change, model, record
+from .state import Lease, Membership, State, Verdict
+
+# Plans and verdicts are forgotten after this many offsets, by every reader
+# at the same record.
+PLAN_LIFE = 20_000
+PRUNE_EVERY = 256
+# Memberships of a target that are remembered for keys that moved.
+MEMBERSHIPS_KEPT = 16
+# Layouts before the newest that ranks may still be on.
+LAYOUTS_KEPT = 3
+
+
+def step(state: State, offset: int, data: Any) -> State:
+    """Fold one record of the log.
+
+    Args:
+      state: The state up to the record before.
+      offset: Offset of the record in the log.
+      data: The record's decoded JSON.
+
+    Returns:
+      The state with the record folded in; the same state if the offset is
+      not higher than the state's, so that nothing ever reverts.
+    """
+    if offset <= state.offset:
+        return state
+    state = _apply(state, offset, record.from_json(data))
+    if offset % PRUNE_EVERY == 0:
+        state = _prune(state, offset)
+    return state._replace(offset=offset)
+
+
+def fold(state: State, rows: Iterable[tuple[int, Any]]) -> State:
+    """Fold many records, given as (offset, data) in offset order."""
+    for offset, data in rows:
+        state = step(state, offset, data)
+    return state
+
+
+def problem(state: State, changes: Iterable[change.Change]) -> str:
+    """Say why changes cannot be applied, or return an empty string."""
+    for item in changes:
+        found = _problem(state, item)
+        if found:
+            return found
+        state = _change(state, 0, item)
+    return ""
+
+
+def apply(
+    state: State, offset: int, changes: Iterable[change.Change]
+) -> State:
+    """Return the state with changes applied, as accepted at an offset."""
+    for item in changes:
+        state = _change(state, offset, item)
+    return state
+
+
+def conflict(state: State, plan: record.PlanRecord) -> str:
+    """Name what has overtaken a plan since it was made, if anything."""
+    for item in plan.changes:
+        key = change.touched(item)
+        at = state.changed_by_key.get(key, -1)
+        if at > plan.base:
+            return f"{key} was changed at offset {at}, after the plan's base"
+    return ""
+
+
+def _apply(state: State, offset: int, item: record.Record | None) -> State:
+    match item:
+        case record.PlanRecord():
+            if item.id in state.plans_by_id or item.id in state.verdicts_by_id:
+                return state
+            plans = state.plans_by_id.set(item.id, (offset, item))
+            return state._replace(plans_by_id=plans)
+        case record.ConfirmRecord(plan=plan):
+            return _confirm(state, offset, plan)
+        case record.LeaseRecord():
+            return _lease(state, offset, item)
+        case _:
+            return state
+
+
+def _confirm(state: State, offset: int, plan_id: str) -> State:
+    """Judge a confirmation; only the first of a plan counts."""
+    if plan_id in state.verdicts_by_id:
+        return state
+    verdict = Verdict(accepted=True, offset=offset)
+    row = state.plans_by_id.get(plan_id)
+    if row is None:
+        verdict = Verdict(False, offset, "unknown-plan", "no such plan")
+    else:
+        overtaken = conflict(state, row[1])
+        wrong = problem(state, row[1].changes)
+        if overtaken:
+            verdict = Verdict(False, offset, "conflict", overtaken)
+        elif wrong:
+            verdict = Verdict(False, offset, "refused", wrong)
+        else:
+            state = apply(state, offset, row[1].changes)
+        plans = state.plans_by_id.delete(plan_id)
+        state = state._replace(plans_by_id=plans)
+    verdicts = state.verdicts_by_id.set(plan_id, verdict)
+    return state._replace(verdicts_by_id=verdicts)
+
+
+def _lease(state: State, offset: int, item: record.LeaseRecord) -> State:
+    """Accept a claim only if nobody claimed since its author looked."""
+    held = state.leases_by_name.get(item.name)
+    if item.replaces != (held.offset if held else 0):
+        return state
+    lease = Lease(item.holder, offset, item.ttl_ms, item.id)
+    leases = state.leases_by_name.set(item.name, lease)
+    return state._replace(leases_by_name=leases)
+
+
+def _problem(state: State, item: change.Change) -> str:
+    match item:
+        case change.PutUpstream(upstream=put):
+            return _upstream_problem(state, put)
+        case change.Remove(kind=kind, name=name):
+            if name not in getattr(state, f"{kind}s_by_name"):
+                return f"there is no {kind} {name}"
+        case change.Leave(upstream=name):
+            if name not in state.upstreams_by_name:
+                return f"there is no upstream {name}"
+        case change.SetRole(upstream=name, role=role):
+            if name not in state.upstreams_by_name:
+                return f"there is no upstream {name}"
+            if role not in model.ROLES:
+                return f"there is no role {role}"
+        case change.SetLayout(group=name, layout=layout):
+            return _layout_problem(state, name, layout)
+    return ""
+
+
+def _upstream_problem(state: State, put: model.Upstream) -> str:
+    group = state.groups_by_name.get(put.target)
+    if group is None:
+        known = put.target in state.services_by_name
+        return "" if known else f"there is no group or service {put.target}"
+    if put.first_rank + put.ranks > group.ranks:
+        return f"{put.name} has ranks that group {group.name} has not"
+    return ""
+
+
+def _layout_problem(state: State, name: str, layout: model.Layout) -> str:
+    group = state.groups_by_name.get(name)
+    if group is None:
+        return f"there is no group {name}"
+    if layout.version != group.layout.version + 1:
+        return f"group {name} is on layout {group.layout.version}"
+    slots = group.ranks * group.slots_per_rank
+    experts = set(range(group.experts))
+    for row in layout.experts_by_slot:
+        if len(row) != slots or set(row) != experts:
+            return f"a layer of the layout does not fit group {name}"
+    return ""
+
+
+def _change(state: State, offset: int, item: change.Change) -> State:
+    changed = state.changed_by_key.set(change.touched(item), offset)
+    state = state._replace(changed_by_key=changed)
+    match item:
+        case change.PutWorkspace(workspace=put):
+            rows = state.workspaces_by_name.set(put.name, put)
+            return state._replace(workspaces_by_name=rows)
+        case change.PutService(service=put):
+            rows = state.services_by_name.set(put.name, put)
+            return state._replace(services_by_name=rows)
+        case change.PutGroup(group=put):
+            return _put_group(state, put)
+        case change.PutUpstream(upstream=put):
+            return _put_upstream(state, offset, put)
+        case change.Remove():
+            return _remove(state, offset, item)
+        case change.Leave(upstream=name):
+            old = state.upstreams_by_name[name]
+            return _put_upstream(state, offset, old._replace(leaving=True))
+        case change.SetRole(upstream=name, role=role):
+            old = state.upstreams_by_name[name]
+            return _put_upstream(state, offset, old._replace(role=role))
+        case change.SetLayout(group=name, layout=layout):
+            return _set_layout(state, name, layout)
+
+
+def _set_layout(state: State, name: str, layout: model.Layout) -> State:
+    old = state.groups_by_name[name]
+    earlier = (*old.earlier, old.layout)[-LAYOUTS_KEPT:]
+    new = old._replace(layout=layout, earlier=earlier)
+    rows = state.groups_by_name.set(name, new)
+    return state._replace(groups_by_name=rows)
+
+
+def _put_group(state: State, put: model.Group) -> State:
+    """Replace a group but keep the layout that its ranks are on."""
+    old = state.groups_by_name.get(put.name)
+    if old is not None:
+        put = put._replace(layout=old.layout, earlier=old.earlier)
+    rows = state.groups_by_name.set(put.name, put)
+    return state._replace(groups_by_name=rows)
+
+
+def _put_upstream(state: State, offset: int, put: model.Upstream) -> State:
+    old = state.upstreams_by_name.get(put.name)
+    rows = state.upstreams_by_name.set(put.name, put)
+    state = state._replace(upstreams_by_name=rows)
+    if old is not None and old.target != put.target:
+        state = _note_members(state, offset, old.target)
+    return _note_members(state, offset, put.target)
+
+
+def _remove(state: State, offset: int, item: change.Remove) -> State:
+    field = f"{item.kind}s_by_name"
+    rows = getattr(state, field)
+    if item.name not in rows:
+        return state
+    old = rows[item.name]
+    state = state._replace(**{field: rows.delete(item.name)})
+    if item.kind != "upstream":
+        return state
+    state = _note_members(state, offset, old.target)
+    if item.fenced:
+        state = _forget_member(state, old.target, item.name)
+    return state
+
+
+def _forget_member(state: State, target: str, name: str) -> State:
+    """Take an upstream that is certainly off out of the memberships.
+
+    Later homes of its keys then need not wait for its answer.
+    """
+    rows = tuple(
+        row._replace(members=tuple(m for m in row.members if m != name))
+        for row in state.members_by_target.get(target, ())
+    )
+    table = state.members_by_target.set(target, rows)
+    return state._replace(members_by_target=table)
+
+
+def _note_members(state: State, offset: int, target: str) -> State:
+    """Remember who serves a target, if that has changed."""
+    now = tuple(
+        sorted(
+            item.name
+            for item in state.upstreams_by_name.values()
+            if item.target == target
+            and item.role == "serve"
+            and not item.leaving
+        )
+    )
+    rows = state.members_by_target.get(target, ())
+    if rows and rows[-1].members == now:
+        return state
+    rows = (*rows, Membership(offset, now))[-MEMBERSHIPS_KEPT:]
+    table = state.members_by_target.set(target, rows)
+    return state._replace(members_by_target=table)
+
+
+def _prune(state: State, offset: int) -> State:
+    """Forget plans and verdicts past their life."""
+    limit = offset - PLAN_LIFE
+    plans = state.plans_by_id
+    for key, row in plans.items():
+        if row[0] < limit:
+            plans = plans.delete(key)
+    verdicts = state.verdicts_by_id
+    for key, verdict in verdicts.items():
+        if verdict.offset < limit:
+            verdicts = verdicts.delete(key)
+    return state._replace(plans_by_id=plans, verdicts_by_id=verdicts)
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/model.py
@@ -0,0 +1,154 @@
+"""The objects that operators configure, as immutable tuples."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import hashlib
+from typing import Any, NamedTuple
+
+ROLES = ("serve", "prefill", "decode", "standby")
+
+
+class Workspace(NamedTuple):
+    """A customer with its limits.
+
+    Attributes:
+      name: Unique name.
+      key_digest: SHA-256, hex, of the bearer key; never the key itself.
+      targets: Names of the groups and services it may call.
+      weight: Share of capacity relative to other workspaces.
+      max_running: Requests it may have in progress at one entry.
+      priority: Class of requests that carry no priority; 0 most urgent.
+    """
+
+    name: str
+    key_digest: str
+    targets: tuple[str, ...] = ()
+    weight: float = 1.0
+    max_running: int = 64
+    priority: int = 2
+
+
+class Service(NamedTuple):
+    """A plain service.
+
+    Attributes:
+      name: Unique name.
+      once_paths: Path prefixes whose calls must not be repeated.
+    """
+
+    name: str
+    once_paths: tuple[str, ...] = ()
+
+
+class Layout(NamedTuple):
+    """What all ranks of a group use in a step.
+
+    Attributes:
+      version: Rises with every change; 0 before the first.
+      model_version: Version of the model that the ranks load.
+      experts_by_slot: Expert held in each slot, by layer, then slot;
+        rank r holds slots [r * n, (r + 1) * n) with n slots a rank.
+    """
+
+    version: int = 0
+    model_version: str = ""
+    experts_by_slot: tuple[tuple[int, ...], ...] = ()
+
+
+class Group(NamedTuple):
+    """A group of ranks that run in lock-step on one layout.
+
+    Attributes:
+      name: Unique name, also the model name that callers give.
+      ranks: Number of ranks.
+      experts: Experts a layer.
+      slots_per_rank: Experts that a rank holds in each layer.
+      skew_weight: Weight of step-time skew in rebalancing, 0 to 1.
+      layout: The layout in force or being brought into force.
+      earlier: The layouts before it that ranks may still be on.
+    """
+
+    name: str
+    ranks: int
+    experts: int
+    slots_per_rank: int
+    skew_weight: float = 0.5
+    layout: Layout = Layout()
+    earlier: tuple[Layout, ...] = ()
+
+
+class Upstream(NamedTuple):
+    """A back end that requests go to, behind its agent.
+
+    Attributes:
+      name: Unique name.
+      target: The group or service that it serves.
+      hall: Name of its data hall.
+      agent: Address of its agent, "ip:port".
+      role: One of ROLES; only "serve" gets requests.
+      leaving: Whether an operator has asked it to leave.
+      first_rank: First of its ranks in the group, for groups.
+      ranks: Number of its ranks, for groups.
+    """
+
+    name: str
+    target: str
+    hall: str
+    agent: str
+    role: str = "serve"
+    leaving: bool = False
+    first_rank: int = 0
+    ranks: int = 0
+
+
+def digest_of_key(key: str) -> str:
+    """Return the digest under which a bearer key is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def to_json(thing: Any) -> dict[str, Any]:
+    """Return one of this module's tuples as plain JSON data."""
+    fields = thing._asdict()
+    if isinstance(thing, Group):
+        fields["layout"] = to_json(thing.layout)
+        fields["earlier"] = [to_json(item) for item in thing.earlier]
+    return fields
+
+
+def workspace(data: dict[str, Any]) -> Workspace:
+    """Build a Workspace from checked JSON data."""
+    data = dict(data)
+    if "key" in data:
+        data["key_digest"] = digest_of_key(data.pop("key"))
+    data["targets"] = tuple(data.get("targets", ()))
+    return Workspace(**data)
+
+
+def service(data: dict[str, Any]) -> Service:
+    """Build a Service from checked JSON data."""
+    paths = tuple(data.get("once_paths", ()))
+    return Service(name=data["name"], once_paths=paths)
+
+
+def layout(data: dict[str, Any]) -> Layout:
+    """Build a Layout from checked JSON data."""
+    slots = tuple(tuple(row) for row in data.get("experts_by_slot", ()))
+    return Layout(
+        version=data.get("version", 0),
+        model_version=data.get("model_version", ""),
+        experts_by_slot=slots,
+    )
+
+
+def group(data: dict[str, Any]) -> Group:
+    """Build a Group from checked JSON data."""
+    data = dict(data)
+    data["layout"] = layout(data.get("layout", {}))
+    data["earlier"] = tuple(layout(row) for row in data.get("earlier", ()))
+    return Group(**data)
+
+
+def upstream(data: dict[str, Any]) -> Upstream:
+    """Build an Upstream from checked JSON data."""
+    return Upstream(**data)
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/placement.py
@@ -0,0 +1,313 @@
+"""Places experts on the ranks of a group.
+
+A layer's placement is a list of slots, each holding an expert; rank r owns
+an equal run of them.  The tokens of an expert split evenly over its
+replicas.  A step lasts as long as its most loaded rank, so the measure is
+skew: the largest rank load over the mean.
+
+The solver starts from the current placement and makes one replacement or
+exchange at a time, each the best it finds, as long as what it gains
+outweighs what moving weights costs.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import heapq
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+# Experts and ranks that are looked at from each end when a move is chosen.
+WIDTH = 8
+# A move must lower the sum of squared relative rank loads by this much
+# times the cost weight over the skew weight.
+GAIN_PER_MOVE = 0.02
+SMALLEST_WEIGHT = 0.01
+
+
+class Layer(NamedTuple):
+    """What is to be solved for one layer.
+
+    Attributes:
+      slots: Expert in each slot, by rank.
+      loads: Tokens of each expert, forecast.
+      per_rank: Slots of a rank.
+    """
+
+    slots: tuple[int, ...]
+    loads: tuple[float, ...]
+    per_rank: int
+
+
+class Cost(NamedTuple):
+    """What a change of placement gains and costs.
+
+    Attributes:
+      skew_before: Largest over mean rank load, as it is.
+      skew_after: The same, as it would be.
+      bound: No placement with that many slots has a lower skew.
+      moves: Slots that have to load another expert.
+    """
+
+    skew_before: float
+    skew_after: float
+    bound: float
+    moves: int
+
+
+def uniform(*, ranks: int, experts: int, per_rank: int) -> tuple[int, ...]:
+    """Return a placement that knows nothing of loads."""
+    return tuple(slot % experts for slot in range(ranks * per_rank))
+
+
+def rank_loads(layer: Layer) -> list[float]:
+    """Return the load of each rank."""
+    counts = _counts(layer.slots, len(layer.loads))
+    each = [
+        load / max(1, n) for load, n in zip(layer.loads, counts, strict=True)
+    ]
+    loads = []
+    for start in range(0, len(layer.slots), layer.per_rank):
+        held = layer.slots[start : start + layer.per_rank]
+        loads.append(sum(each[expert] for expert in held))
+    return loads
+
+
+def skew(layer: Layer) -> float:
+    """Return the largest rank load over the mean; 1 without load."""
+    loads = rank_loads(layer)
+    mean = sum(loads) / len(loads)
+    return max(loads) / mean if mean > 0 else 1.0
+
+
+def bound(layer: Layer) -> float:
+    """Return a skew that no placement with these slots can go below."""
+    counts = spread(layer.loads, len(layer.slots))
+    worst = max(load / n for load, n in zip(layer.loads, counts, strict=True))
+    ranks = len(layer.slots) // layer.per_rank
+    mean = sum(layer.loads) / ranks
+    return max(1.0, worst / mean) if mean > 0 else 1.0
+
+
+def spread(loads: Sequence[float], slots: int) -> list[int]:
+    """Return replica counts that make the largest replica smallest."""
+    counts = [1] * len(loads)
+    heap = [(-load, expert) for expert, load in enumerate(loads)]
+    heapq.heapify(heap)
+    for _ in range(slots - len(loads)):
+        _, expert = heap[0]
+        counts[expert] += 1
+        share = -loads[expert] / counts[expert]
+        heapq.heapreplace(heap, (share, expert))
+    return counts
+
+
+def repack(layer: Layer) -> tuple[int, ...]:
+    """Place from nothing: spread replicas, then longest first.
+
+    The baseline that ignores what moving costs.
+    """
+    ranks = len(layer.slots) // layer.per_rank
+    counts = spread(layer.loads, len(layer.slots))
+    items = []
+    for expert, n in enumerate(counts):
+        items += [(layer.loads[expert] / n, expert)] * n
+    items.sort(reverse=True)
+    held: list[list[int]] = [[] for _ in range(ranks)]
+    loads = [0.0] * ranks
+    for load, expert in items:
+        open_ranks = [r for r in range(ranks) if len(held[r]) < layer.per_rank]
+        fit = [r for r in open_ranks if expert not in held[r]] or open_ranks
+        rank = min(fit, key=lambda r: (loads[r], r))
+        held[rank].append(expert)
+        loads[rank] += load
+    return tuple(expert for row in held for expert in row)
+
+
+def moves(old: Sequence[int], new: Sequence[int], per_rank: int) -> int:
+    """Count the experts that ranks must load to go from old to new."""
+    count = 0
+    for start in range(0, len(old), per_rank):
+        have = list(old[start : start + per_rank])
+        for expert in new[start : start + per_rank]:
+            if expert in have:
+                have.remove(expert)
+            else:
+                count += 1
+    return count
+
+
+def solve(
+    layer: Layer, *, skew_weight: float, budget: int
+) -> Iterator[tuple[int, ...]]:
+    """Improve a layer's placement one move at a time.
+
+    Args:
+      layer: Where to start from.
+      skew_weight: Weight of skew against moved weights, 0 to 1.
+      budget: Experts that may be loaded at most.
+
+    Yields:
+      The placement after each move, so that the caller can stop or give
+      way to other work between moves.
+    """
+    work = _Work(layer)
+    weight = max(skew_weight, SMALLEST_WEIGHT)
+    least = GAIN_PER_MOVE * (1 - skew_weight) / weight
+    while budget > 0:
+        step = work.best()
+        if step is None or step.gain / step.cost <= least + 1e-9:
+            return
+        if step.cost > budget:
+            return
+        work.make(step)
+        budget -= step.cost
+        yield tuple(work.slots)
+
+
+class _Step(NamedTuple):
+    """Slot first gets expert_first; for an exchange, second likewise."""
+
+    gain: float
+    cost: int
+    first: int
+    expert_first: int
+    second: int = -1
+    expert_second: int = -1
+
+
+class _Work:
+    """A placement under change, with rank loads relative to the mean."""
+
+    def __init__(self, layer: Layer) -> None:
+        self.per_rank = layer.per_rank
+        self.slots = list(layer.slots)
+        self.ranks = len(layer.slots) // layer.per_rank
+        mean = sum(layer.loads) / self.ranks or 1.0
+        self.experts = [load / mean for load in layer.loads]
+        self.places: list[list[int]] = [[] for _ in self.experts]
+        for slot, expert in enumerate(self.slots):
+            self.places[expert].append(slot)
+        self.loads = [
+            load / mean if sum(layer.loads) else 0.0
+            for load in rank_loads(layer)
+        ]
+
+    def best(self) -> _Step | None:
+        """Return the step with the largest gain for its cost."""
+        steps = [*self._replacements(), *self._exchanges()]
+        return max(steps, key=lambda s: s.gain / s.cost, default=None)
+
+    def make(self, step: _Step) -> None:
+        """Carry a step out."""
+        delta = self._delta(step)
+        for rank, change in delta.items():
+            self.loads[rank] += change
+        self._put(step.first, step.expert_first)
+        if step.second >= 0:
+            self._put(step.second, step.expert_second)
+
+    def _put(self, slot: int, expert: int) -> None:
+        self.places[self.slots[slot]].remove(slot)
+        self.slots[slot] = expert
+        self.places[expert].append(slot)
+
+    def _replacements(self) -> Iterator[_Step]:
+        """Give a hot expert one more replica in place of a spare one."""
+        share = self._share
+        hot = sorted(range(len(self.experts)), key=lambda e: -share(e))
+        spare = [e for e, where in enumerate(self.places) if len(where) > 1]
+        spare.sort(key=self._share_without)
+        for expert in hot[:WIDTH]:
+            for victim in spare[:WIDTH]:
+                if victim == expert:
+                    continue
+                for slot in self._lightest(victim, expert):
+                    yield self._scored(_Step(0.0, 1, slot, expert))
+
+    def _exchanges(self) -> Iterator[_Step]:
+        """Swap an expert of the most loaded rank with a lighter one."""
+        order = sorted(range(self.ranks), key=lambda r: self.loads[r])
+        top = order[-1]
+        for other in order[: WIDTH * 2]:
+            if other == top:
+                continue
+            yield from self._swaps(top, other)
+
+    def _swaps(self, top: int, other: int) -> Iterator[_Step]:
+        here = self._held(top)
+        there = self._held(other)
+        for first in here:
+            mine = self.slots[first]
+            for second in there:
+                theirs = self.slots[second]
+                if self._share(mine) <= self._share(theirs):
+                    continue
+                if self._clash(top, theirs) or self._clash(other, mine):
+                    continue
+                step = _Step(0.0, 2, first, theirs, second, mine)
+                yield self._scored(step)
+
+    def _clash(self, rank: int, expert: int) -> bool:
+        return any(
+            slot // self.per_rank == rank for slot in self.places[expert]
+        )
+
+    def _held(self, rank: int) -> range:
+        return range(rank * self.per_rank, (rank + 1) * self.per_rank)
+
+    def _share(self, expert: int) -> float:
+        return self.experts[expert] / len(self.places[expert])
+
+    def _share_without(self, expert: int) -> float:
+        return self.experts[expert] / (len(self.places[expert]) - 1)
+
+    def _lightest(self, victim: int, expert: int) -> list[int]:
+        """Return the victim's slots, least loaded ranks first."""
+        fit = [
+            slot
+            for slot in self.places[victim]
+            if not self._clash(slot // self.per_rank, expert)
+        ]
+        fit.sort(key=lambda slot: self.loads[slot // self.per_rank])
+        return fit[:2]
+
+    def _scored(self, step: _Step) -> _Step:
+        gain = 0.0
+        for rank, change in self._delta(step).items():
+            load = self.loads[rank]
+            gain += load * load - (load + change) * (load + change)
+        return step._replace(gain=gain)
+
+    def _delta(self, step: _Step) -> dict[int, float]:
+        """Return the change of load by rank that a step makes."""
+        delta: dict[int, float] = {}
+
+        def add(slot: int, amount: float) -> None:
+            rank = slot // self.per_rank
+            delta[rank] = delta.get(rank, 0.0) + amount
+
+        out = self.slots[step.first]
+        new = step.expert_first
+        if step.second >= 0:
+            change = self._share(new) - self._share(out)
+            add(step.first, change)
+            add(step.second, -change)
+            return delta
+        before, after = self._share(out), self._share_without(out)
+        for slot in self.places[out]:
+            add(slot, after - before)
+        add(step.first, -after)
+        before = self._share(new)
+        after = self.experts[new] / (len(self.places[new]) + 1)
+        for slot in self.places[new]:
+            add(slot, after - before)
+        add(step.first, after)
+        return delta
+
+
+def _counts(slots: Sequence[int], experts: int) -> list[int]:
+    counts = [0] * experts
+    for expert in slots:
+        counts[expert] += 1
+    return counts
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/plan.py
@@ -0,0 +1,264 @@
+"""Turns an operator's intent into a plan with its diff and its cost."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import collections
+import hashlib
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+from . import change, error, fold, model, placement, record, schema
+from .state import State, members
+
+INTENT_SCHEMA = schema.load("reelscale_core", "intent.schema.json")
+# Experts that a rebalance may load at most, as a fraction of all slots.
+MOVE_BUDGET = 0.25
+# Weights of one expert in one layer, where a group does not say.
+BYTES_PER_EXPERT = 44_000_000
+
+
+class Plan(NamedTuple):
+    """What an operator is asked to confirm.
+
+    Attributes:
+      record: The plan as it goes into the log.
+      diff: One line a change, "+", "-" or "~" first.
+      costs_by_group: What each new layout gains and costs.
+      bytes_moved: Weights that ranks have to load.
+      affected: Upstreams whose requests are touched.
+      destructive: Whether something is taken away.
+    """
+
+    record: record.PlanRecord
+    diff: tuple[str, ...]
+    costs_by_group: dict[str, placement.Cost]
+    bytes_moved: int
+    affected: tuple[str, ...]
+    destructive: bool
+
+
+class Draft(NamedTuple):
+    """An intent checked and turned into changes, before its cost."""
+
+    changes: tuple[change.Change, ...]
+    costs_by_group: dict[str, placement.Cost]
+
+
+def make(
+    state: State,
+    intent: Any,
+    *,
+    author: str,
+    nonce: str,
+    loads_by_group: Mapping[str, Sequence[Sequence[float]]],
+) -> Plan:
+    """Make a plan on a state.
+
+    Args:
+      state: The configuration as folded.
+      intent: The operator's decoded JSON.
+      author: Name of the operator's credential.
+      nonce: What tells this plan from others of the same intent.
+      loads_by_group: Tokens of each expert by layer, for rebalancing.
+
+    Raises:
+      CodedError: "bad-document" with all faults, or "refused".
+    """
+    schema.check(intent, INTENT_SCHEMA, step="plan")
+    draft = _draft(state, intent["changes"], loads_by_group)
+    wrong = fold.problem(state, draft.changes)
+    if wrong:
+        raise error.CodedError(
+            "refused", step="plan", status=409, detail=wrong
+        )
+    item = record.PlanRecord(
+        id=_plan_id(state, intent, nonce),
+        base=state.offset,
+        changes=draft.changes,
+        author=author,
+    )
+    moved = sum(cost.moves for cost in draft.costs_by_group.values())
+    return Plan(
+        record=item,
+        diff=tuple(_diff(state, each) for each in draft.changes),
+        costs_by_group=draft.costs_by_group,
+        bytes_moved=moved * BYTES_PER_EXPERT,
+        affected=_affected(state, draft.changes),
+        destructive=any(_destructive(each) for each in draft.changes),
+    )
+
+
+def _plan_id(state: State, intent: Any, nonce: str) -> str:
+    text = json.dumps([state.offset, intent, nonce], sort_keys=True)
+    return hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
+
+
+def _draft(
+    state: State,
+    items: Sequence[dict[str, Any]],
+    loads_by_group: Mapping[str, Sequence[Sequence[float]]],
+) -> Draft:
+    """Expand what an intent leaves to the system."""
+    changes: list[change.Change] = []
+    costs: dict[str, placement.Cost] = {}
+    for item in items:
+        match item["kind"]:
+            case "set-model":
+                group = _group(state, item["group"])
+                layout = group.layout._replace(
+                    version=group.layout.version + 1,
+                    model_version=item["model_version"],
+                )
+                changes.append(
+                    change.SetLayout(group=group.name, layout=layout)
+                )
+            case "rebalance":
+                group = _group(state, item["group"])
+                loads = loads_by_group.get(group.name, ())
+                layout, cost = rebalance(group, loads)
+                costs[group.name] = cost
+                changes.append(
+                    change.SetLayout(group=group.name, layout=layout)
+                )
+            case "put-group":
+                changes += _put_group(state, item)
+            case _:
+                changes.append(change.from_json(item))
+    return Draft(tuple(changes), costs)
+
+
+def rebalance(
+    group: model.Group, loads_by_layer: Sequence[Sequence[float]]
+) -> tuple[model.Layout, placement.Cost]:
+    """Choose a layout for a group from the load of its experts.
+
+    Raises:
+      CodedError: "no-load" when no load has been reported yet.
+    """
+    old = group.layout.experts_by_slot
+    if len(loads_by_layer) != len(old) or not old:
+        raise error.CodedError(
+            "no-load",
+            step="plan",
+            peer=group.name,
+            status=409,
+            detail="no expert load has been reported for the group yet",
+        )
+    rows = []
+    costs = []
+    for slots, loads in zip(old, loads_by_layer, strict=True):
+        new, cost = rebalance_layer(group, slots, loads)
+        rows.append(new)
+        costs.append(cost)
+    layout = group.layout._replace(
+        version=group.layout.version + 1, experts_by_slot=tuple(rows)
+    )
+    total = placement.Cost(
+        skew_before=max(cost.skew_before for cost in costs),
+        skew_after=max(cost.skew_after for cost in costs),
+        bound=max(cost.bound for cost in costs),
+        moves=sum(cost.moves for cost in costs),
+    )
+    return layout, total
+
+
+def rebalance_layer(
+    group: model.Group, slots: Sequence[int], loads: Sequence[float]
+) -> tuple[tuple[int, ...], placement.Cost]:
+    """Choose the placement of one layer and tell what it costs."""
+    layer = placement.Layer(tuple(slots), tuple(loads), group.slots_per_rank)
+    budget = max(2, int(len(slots) * MOVE_BUDGET))
+    steps = placement.solve(
+        layer, skew_weight=group.skew_weight, budget=budget
+    )
+    best = collections.deque([layer.slots, *steps], maxlen=1)[0]
+    cost = placement.Cost(
+        skew_before=placement.skew(layer),
+        skew_after=placement.skew(layer._replace(slots=best)),
+        bound=placement.bound(layer),
+        moves=placement.moves(layer.slots, best, group.slots_per_rank),
+    )
+    return best, cost
+
+
+def _put_group(state: State, item: dict[str, Any]) -> list[change.Change]:
+    """Create a group; a new one starts on an even layout."""
+    put = change.from_json(item)
+    group = put.group
+    changes: list[change.Change] = [put]
+    if group.name not in state.groups_by_name:
+        slots = placement.uniform(
+            ranks=group.ranks,
+            experts=group.experts,
+            per_rank=group.slots_per_rank,
+        )
+        layout = model.Layout(1, "initial", (slots,))
+        changes.append(change.SetLayout(group=group.name, layout=layout))
+    return changes
+
+
+def _group(state: State, name: str) -> model.Group:
+    group = state.groups_by_name.get(name)
+    if group is None:
+        raise error.CodedError(
+            "refused",
+            step="plan",
+            status=409,
+            detail=f"there is no group {name}",
+        )
+    return group
+
+
+def _diff(state: State, item: change.Change) -> str:
+    """Describe a change in one line."""
+    key = change.touched(item)
+    kind, name = key.split("/", 1)
+    exists = name in getattr(state, f"{kind}s_by_name")
+    match item:
+        case change.Remove():
+            return f"- {key}"
+        case change.Leave():
+            return f"~ {key}: leaving"
+        case change.SetRole(role=role):
+            old = state.upstreams_by_name[name].role
+            return f"~ {key}: role {old} -> {role}"
+        case change.SetLayout(layout=layout):
+            old = state.groups_by_name.get(name)
+            before = old.layout if old else model.Layout()
+            return (
+                f"~ {key}: layout {before.version} -> {layout.version}, "
+                f"model {before.model_version or 'none'} -> "
+                f"{layout.model_version}"
+            )
+        case _:
+            return f"{'~' if exists else '+'} {key}"
+
+
+def _affected(
+    state: State, changes: Sequence[change.Change]
+) -> tuple[str, ...]:
+    """List the upstreams whose requests a plan touches."""
+    names: set[str] = set()
+    for item in changes:
+        match item:
+            case change.Leave(upstream=name) | change.SetRole(upstream=name):
+                names.add(name)
+            case change.Remove(kind="upstream", name=name):
+                names.add(name)
+            case change.SetLayout(group=name):
+                names.update(members(state, name))
+            case _:
+                pass
+    return tuple(sorted(names))
+
+
+def _destructive(item: change.Change) -> bool:
+    match item:
+        case change.Remove() | change.Leave():
+            return True
+        case change.SetRole(role=role):
+            return role != "serve"
+        case _:
+            return False
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/rendezvous.py
@@ -0,0 +1,35 @@
+"""Rendezvous hashing: every node picks the same member for a key.
+
+A member that joins or leaves moves only the keys it wins or held.
+Source: Thaler and Ravishankar, "A name-based mapping scheme for
+rendezvous", 1996.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import hashlib
+from collections.abc import Iterable
+
+
+def score(key: str, member: str) -> int:
+    """Return the 64-bit weight of a member for a key."""
+    text = f"{key}\0{member}".encode()
+    digest = hashlib.blake2b(text, digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def order(key: str, members: Iterable[str]) -> list[str]:
+    """Return members, best first; ties fall to the lesser name."""
+    return sorted(members, key=lambda member: (-score(key, member), member))
+
+
+def choose(key: str, members: Iterable[str]) -> str | None:
+    """Return the best member for a key, or None without members."""
+    ranked = order(key, members)
+    return ranked[0] if ranked else None
+
+
+def subset(node: str, members: Iterable[str], *, size: int) -> list[str]:
+    """Return the members that one node talks to, at most size of them."""
+    return sorted(order(node, members)[:size])
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/schema.py
@@ -0,0 +1,100 @@
+"""Checks JSON documents and reports every fault at once."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import json
+from importlib import resources
+from typing import Any
+
+import jsonschema
+
+from . import error
+
+
+def load(package: str, name: str) -> dict[str, Any]:
+    """Read a JSON schema that ships inside a package.
+
+    Args:
+      package: Dotted name of the package.
+      name: File name of the schema in it.
+
+    Returns:
+      The schema as a dict.
+    """
+    text = resources.files(package).joinpath(name).read_text()
+    return json.loads(text)
+
+
+def faults(document: Any, schema: dict[str, Any]) -> tuple[error.Fault, ...]:
+    """List all faults of a document, in document order.
+
+    Args:
+      document: A decoded JSON value.
+      schema: A JSON schema, draft 2020-12.
+
+    Returns:
+      One Fault for each violated rule, empty if the document is good.
+    """
+    validator = jsonschema.Draft202012Validator(schema)
+    found = []
+    for item in validator.iter_errors(document):
+        found += _unfold(item)
+    return tuple(sorted(set(found)))
+
+
+def check(document: Any, schema: dict[str, Any], *, step: str) -> None:
+    """Raise one error that carries every fault of a document.
+
+    Raises:
+      CodedError: Code "bad-document", status 400.
+    """
+    found = faults(document, schema)
+    if found:
+        raise error.CodedError(
+            "bad-document",
+            step=step,
+            status=400,
+            detail=f"{len(found)} fault(s) in the document",
+            faults=found,
+        )
+
+
+def decode(text: str | bytes, *, step: str) -> Any:
+    """Decode JSON text.
+
+    Raises:
+      CodedError: Code "bad-json", with the line and column.
+    """
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError) as bad:
+        raise error.CodedError(
+            "bad-json", step=step, status=400, detail=str(bad)
+        ) from bad
+
+
+def _unfold(item: jsonschema.ValidationError) -> list[error.Fault]:
+    """Turn one schema error, with its alternatives, into faults."""
+    path = "/" + "/".join(str(part) for part in item.absolute_path)
+    if item.validator == "oneOf" and item.context:
+        best = jsonschema.exceptions.best_match([item])
+        if best is not None and best is not item:
+            return _unfold(best)
+    return [error.Fault(path=path, expected=_expectation(item))]
+
+
+def _expectation(item: jsonschema.ValidationError) -> str:
+    match item.validator:
+        case "type":
+            return f"a value of type {item.validator_value}"
+        case "additionalProperties":
+            return f"only known keys ({item.message})"
+        case "required":
+            return f"the key to be there ({item.message})"
+        case "const":
+            return f"the value {item.validator_value!r}"
+        case "enum":
+            return f"one of {item.validator_value}"
+        case _:
+            return f"{item.validator} {item.validator_value}"
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/platform.py
@@ -0,0 +1,129 @@
+"""Meets the platform: its append-only log and its list of boxes."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any, NamedTuple
+
+import orjson
+import treq
+from reelscale_core import error
+from twisted.web import client
+
+# Seconds for which a read waits at the log for something new.
+POLL_S = 10.0
+READ_LIMIT = 2000
+# An answer that takes longer counts as lost.
+TIMEOUT_S = 3.0
+
+
+class Rows(NamedTuple):
+    """What a read of the log gave.
+
+    Attributes:
+      rows: (offset, data) pairs in offset order.
+      oldest: Lowest offset that the log still keeps.
+      head: Offset that the next record will get.
+    """
+
+    rows: list[tuple[int, Any]]
+    oldest: int
+    head: int
+
+
+class Box(NamedTuple):
+    """A line of the platform's list of boxes.
+
+    Attributes:
+      name: Name of the box.
+      role: "entry" or "upstream".
+      hall: Its data hall.
+      peer: Address of its reelscale process.
+      leaving: Whether the platform is taking it away.
+    """
+
+    name: str
+    role: str
+    hall: str
+    peer: str
+    leaving: bool
+
+
+class Platform:
+    """The platform's service, over HTTP."""
+
+    def __init__(self, *, reactor: Any, url: str) -> None:
+        self.cut = False
+        self._url = url.rstrip("/")
+        pool = client.HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = 4
+        agent = client.Agent(reactor, connectTimeout=1.0, pool=pool)
+        self._http = treq.client.HTTPClient(agent)
+
+    async def append(self, records: list[dict[str, Any]]) -> int:
+        """Append records to the log.
+
+        Returns:
+          The offset of the first.
+
+        Raises:
+          CodedError: "log-down"; the records may have been appended.
+        """
+        body = orjson.dumps({"records": records})
+        data = await self._ask("append", "POST", "/log/records", body=body)
+        return data["offset"]
+
+    async def read(self, from_offset: int, *, wait_s: float) -> Rows:
+        """Read records from an offset on, waiting for the first.
+
+        Raises:
+          CodedError: "log-down".
+        """
+        query = f"from={from_offset}&wait={wait_s}&limit={READ_LIMIT}"
+        data = await self._ask(
+            "read",
+            "GET",
+            f"/log/records?{query}",
+            timeout_s=TIMEOUT_S + wait_s,
+        )
+        rows = [(row[0], row[1]) for row in data["records"]]
+        return Rows(rows, data["oldest"], data["head"])
+
+    async def boxes(self) -> list[Box]:
+        """Read the list of boxes, which may be old.
+
+        Raises:
+          CodedError: "log-down".
+        """
+        data = await self._ask("boxes", "GET", "/boxes")
+        return [Box(**row) for row in data["boxes"]]
+
+    async def _ask(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        timeout_s: float = TIMEOUT_S,
+    ) -> Any:
+        try:
+            if self.cut:
+                raise ConnectionError("cut")
+            answer = await self._http.request(
+                method, self._url + path, data=body, timeout=timeout_s
+            )
+            text = await answer.content()
+            if answer.code != 200:
+                raise ConnectionError(f"status {answer.code}")
+            return orjson.loads(text)
+        except Exception as bad:
+            raise error.CodedError(
+                "log-down",
+                step=step,
+                peer=self._url,
+                status=503,
+                detail=str(bad) or type(bad).__name__,
+                retry_after_s=2,
+                outcome=error.OUTCOME_UNKNOWN,
+            ) from bad
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -0,0 +1,317 @@
+"""The agent: the process in the slot on each upstream box.
+
+It is the only path to the upstream: it admits attempts, checks the fence
+of orders, remembers keys of at-most-once requests, and grants its slots to
+entries.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any
+
+from reelscale_core import grant, once, settings
+from reelscale_wire import link
+from reelscale_wire.gen import Peer, ttypes
+from twisted.internet import defer, task
+from twisted.web import resource
+from zope.interface import implementer
+
+from . import health, logs, metrics, process
+from .adapters import engine as engines
+from .adapters import upstream as upstreams
+from .controllers import keys, layout, orders, streams
+
+LOG = logs.Part("agent")
+LOAD_EVERY_S = 0.25
+BOXES_EVERY_S = 1.0
+SWEEP_EVERY_S = 1.0
+# A load report older than this means that the upstream is not well.
+UNWELL_S = 3.0
+STOP_POLL_S = 0.05
+
+
+@implementer(Peer.Iface)
+class Agent:
+    """One agent and its parts."""
+
+    def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
+        self.settings = settings
+        self._base = process.Base(reactor=reactor, settings=settings)
+        base = self._base
+        self._metrics = metrics.Metrics()
+        self._upstream = upstreams.Upstream(
+            reactor=reactor, url=settings.engine
+        )
+        self._engine = engines.Engine(upstream=self._upstream)
+        self._streams = streams.Streams(
+            reactor=reactor,
+            clock=base.clock,
+            upstream=self._upstream,
+            metrics=self._metrics,
+            capacity=settings.slots,
+            buffer_bytes=settings.buffer_bytes,
+            incarnation=base.incarnation,
+        )
+        self._keys = keys.Keys(
+            clock=base.clock,
+            config=base.config,
+            links=base.links,
+            name=settings.name,
+        )
+        self._streams.on_end.append(self._keys.ended)
+        self._orders = orders.Orders(
+            clock=base.clock,
+            config=base.config,
+            engine=self._engine,
+            lease_s=settings.lease.total_seconds(),
+        )
+        self._layouts = layout.Layouts(
+            reactor=reactor,
+            clock=base.clock,
+            config=base.config,
+            platform=base.platform,
+            links=base.links,
+            orders=self._orders,
+            engine=self._engine,
+            name=settings.name,
+            incarnation=base.incarnation,
+            lease_s=settings.lease.total_seconds(),
+        )
+        self._load = engines.Load(0, 0, settings.slots)
+        self._load_at = float("-inf")
+        self._asking_load = False
+        self._box_leaving = False
+        self._role = ""
+        self._beats: dict[str, tuple[float, int]] = {}
+        self._loops: list[task.LoopingCall] = []
+        base.config.listen(lambda _state: self._follow())
+
+    async def start(self) -> None:
+        """Serve peers and begin to watch the upstream."""
+        base = self._base
+        root = resource.Resource()
+        health.add_routes(
+            root,
+            ready=self._not_ready,
+            metrics=self._metrics,
+            refresh=self._refresh,
+        )
+        if base.settings.test_controls:
+            test = resource.Resource()
+            root.putChild(b"test", test)
+            cut = health.Cut(links=base.links, platform=base.platform)
+            test.putChild(b"cut", cut)
+        await base.listen(base.settings.peer, link.Server(handler=self))
+        await base.listen(base.settings.http, process.site(root))
+        defer.ensureDeferred(base.config.run())
+        self._start_loops()
+        base.on_signal(self.stop)
+        LOG.info("Serving.", name=base.settings.name, peer=base.settings.peer)
+
+    async def stop(self) -> None:
+        """Refuse new work, let work in progress end, then go."""
+        base = self._base
+        self._streams.gate.leaving = True
+        while self._streams.gate.running or self._unpulled():
+            await task.deferLater(base.reactor, STOP_POLL_S)
+        self._layouts.stop()
+        self._keys.stop()
+        for loop in self._loops:
+            loop.stop()
+        base.config.stop()
+        await base.stop_listening()
+        LOG.info("Stopped.")
+
+    # What peers may call, by the names of the Peer service.
+
+    def heartbeat(self, beat: ttypes.Heartbeat) -> ttypes.Pulse:
+        """Grant slots to an entry and tell it how things are here."""
+        base = self._base
+        base.config.hear(beat.peer, beat.offset)
+        now = base.clock.monotonic()
+        name = base.settings.name
+        if name in beat.wanted:
+            self._beats[beat.name] = (now, beat.wanted[name])
+        return ttypes.Pulse(
+            name=name,
+            incarnation=base.incarnation,
+            hall=base.settings.hall,
+            offset=base.config.state.offset,
+            grant=self._grant(beat.name, now),
+            running=len(self._streams.gate.running),
+            queued=self._load.queued,
+            capacity=self._streams.gate.capacity,
+            leaving=self._streams.gate.leaving,
+            layout=self._layouts.rank.version,
+            step_ms=self._load.step_ms,
+            model_version=self._load.model_version,
+            healthy=now - self._load_at < UNWELL_S,
+            heat=list(self._load.heat),
+            log_age_ms=base.config.log_age_ms(),
+            peer=base.settings.peer,
+        )
+
+    def state(self, request: ttypes.StateRequest) -> ttypes.StateReply:
+        """Give the configuration to a peer that cannot reach the log."""
+        return self._base.config.answer(request.have_offset)
+
+    async def _submit(self, request: ttypes.Submit) -> ttypes.Verdict:
+        if request.attempt in self._streams.by_attempt:
+            return self._streams.admitted()
+        if not self._base.config.ready:
+            return self._streams.verdict("not-ready")
+        answer = self._streams.judge(request)
+        if not answer.admitted:
+            return self._streams.verdict(answer.code)
+        if answer.repeated:
+            return self._streams.admitted()
+        if request.once_key:
+            return await self._submit_once(request)
+        self._streams.start(request)
+        return self._streams.admitted()
+
+    async def _submit_once(self, request: ttypes.Submit) -> ttypes.Verdict:
+        judgement = await self._keys.judge(request)
+        match judgement:
+            case once.Run():
+                self._streams.start(request)
+                return self._streams.admitted()
+            case once.Repeat():
+                kept = self._keys.kept_by_key.get(request.once_key)
+                if kept is None:
+                    return self._not_again(request, "key-taken")
+                self._streams.replay(request, kept.head, kept.body)
+                return self._streams.admitted()
+            case once.Refuse(code=code, not_run=True):
+                return self._streams.refuse(request.attempt, code)
+            case once.Refuse(code=code):
+                return self._not_again(request, code)
+        raise AssertionError(judgement)
+
+    def _not_again(self, request: ttypes.Submit, code: str) -> ttypes.Verdict:
+        """Refuse a key that has run or may have: the answer is unknown."""
+        self._streams.refuse(request.attempt, code)
+        return self._streams.verdict(code, unknown=True)
+
+    def submit(self, request: ttypes.Submit) -> defer.Deferred:
+        """Take an attempt from an entry, or refuse it."""
+        return defer.ensureDeferred(self._submit(request))
+
+    def pull(self, request: ttypes.Pull) -> defer.Deferred:
+        """Give an entry the next chunks of an attempt."""
+        return defer.ensureDeferred(self._streams.pull(request))
+
+    def cancel(self, request: ttypes.Cancel) -> ttypes.Verdict:
+        """Kill an attempt; refused means that it will never run."""
+        return self._streams.cancel(request.attempt)
+
+    def order(self, message: ttypes.Order) -> defer.Deferred:
+        """Carry out an order of the group's holder."""
+        return defer.ensureDeferred(self._orders.order(message))
+
+    def key(self, request: ttypes.KeyRequest) -> ttypes.KeyReply:
+        """Answer a later home of a key."""
+        return self._keys.answer(request)
+
+    def _grant(self, entry: str, now: float) -> ttypes.Grant:
+        fresh = {
+            name: wanted
+            for name, (at, wanted) in self._beats.items()
+            if now - at < grant.LAPSE_S
+        }
+        self._beats = {name: self._beats[name] for name in fresh}
+        slots = 0
+        if not self._streams.gate.leaving and entry in fresh:
+            capacity = self._streams.gate.capacity
+            slots = grant.shares(capacity, fresh)[entry]
+        return ttypes.Grant(
+            upstream=self._base.settings.name,
+            slots=slots,
+            lapse_ms=int(grant.LAPSE_S * 1000),
+        )
+
+    def _follow(self) -> None:
+        """Take from the configuration whether to leave, and the role."""
+        state = self._base.config.state
+        mine = state.upstreams_by_name.get(self._base.settings.name)
+        gone = mine is None or mine.leaving or mine.role != "serve"
+        leaving = gone or self._box_leaving or self._base.stopping
+        if leaving != self._streams.gate.leaving:
+            LOG.info("The gate has changed.", leaving=leaving)
+        self._streams.gate.leaving = leaving
+        if mine is not None and mine.role != self._role:
+            defer.ensureDeferred(self._order_role(mine.role, state.offset))
+
+    async def _order_role(self, role: str, fence: int) -> None:
+        if self._base.settings.kind != "engine":
+            return
+        try:
+            await self._engine.role(role, fence)
+            self._role = role
+        except Exception as lost:
+            LOG.warning("The engine did not take its role.", reason=repr(lost))
+
+    def _start_loops(self) -> None:
+        for every_s, function in (
+            (LOAD_EVERY_S, self._ask_load),
+            (BOXES_EVERY_S, self._read_boxes),
+            (SWEEP_EVERY_S, self._streams.sweep),
+        ):
+            loop = task.LoopingCall(function)
+            loop.start(every_s)
+            self._loops.append(loop)
+        self._keys.start()
+        if self._base.settings.kind == "engine":
+            self._layouts.start()
+
+    def _ask_load(self) -> None:
+        if not self._asking_load:
+            self._asking_load = True
+            defer.ensureDeferred(self._take_load())
+
+    async def _take_load(self) -> None:
+        try:
+            self._load = await self._engine.load()
+            self._load_at = self._base.clock.monotonic()
+        except Exception as lost:
+            LOG.warning("No load report.", reason=repr(lost))
+        finally:
+            self._asking_load = False
+
+    async def _read_boxes(self) -> None:
+        try:
+            boxes = await self._base.platform.boxes()
+        except Exception:
+            return
+        name = self._base.settings.name
+        self._box_leaving = any(
+            box.name == name and box.role == "upstream" and box.leaving
+            for box in boxes
+        )
+        entries = {box.peer for box in boxes if box.role == "entry"}
+        self._base.config.peers.update(entries)
+        self._follow()
+
+    def _unpulled(self) -> bool:
+        """Tell whether an entry has yet to fetch the end of an answer."""
+        now = self._base.clock.monotonic()
+        return any(
+            now - stream.pulled_at < 1.0
+            and stream.outbox.count > stream.outbox.base
+            for stream in self._streams.by_attempt.values()
+        )
+
+    def _not_ready(self) -> str:
+        if not self._base.config.ready:
+            return "no configuration yet"
+        return "leaving" if self._streams.gate.leaving else ""
+
+    def _refresh(self) -> None:
+        """Set the gauges before a scrape."""
+        base = self._base
+        self._metrics.offset.set({}, base.config.state.offset)
+        self._metrics.log_age.set({}, min(base.config.log_age_s(), 1e6))
+        self._metrics.running.set({}, len(self._streams.gate.running))
+        self._metrics.layout.set({}, self._layouts.rank.version)
+        self._metrics.keys.set({}, len(self._keys.table))
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/callers.py
@@ -0,0 +1,156 @@
+"""The HTTP side towards callers."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any
+
+from reelscale_core import error
+from twisted.internet import defer
+from twisted.python import failure
+from twisted.web import http, resource, server
+
+from . import logs, problem
+from .filters import call, chain, parts, writer
+
+LOG = logs.Part("callers")
+LONGEST_DEADLINE_S = 600.0
+
+
+class Callers(resource.Resource):
+    """Takes every request of a caller and passes it through the chain."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, *, given: parts.Parts) -> None:
+        super().__init__()
+        self._given = given
+
+    def render(self, request: Any) -> int:
+        """Start a request; its answer comes later."""
+        asked = self._call(request)
+        request.notifyFinish().addErrback(_left, asked)
+        done = defer.ensureDeferred(self._serve(asked))
+        done.addErrback(self._bug, asked)
+        return server.NOT_DONE_YET
+
+    def _call(self, request: Any) -> call.Call:
+        now = self._given.clock.monotonic()
+        return call.Call(
+            http=request,
+            id=self._given.next_id(),
+            arrived_at=now,
+            deadline=now + self._deadline_s(request),
+        )
+
+    def _deadline_s(self, request: Any) -> float:
+        """Return the time in which a request must have started."""
+        default = self._given.settings.deadline.total_seconds()
+        header = request.getHeader("x-request-timeout")
+        try:
+            asked_s = float(header) if header else default
+        except ValueError:
+            return default
+        return min(max(asked_s, 0.0), LONGEST_DEADLINE_S)
+
+    async def _serve(self, asked: call.Call) -> None:
+        try:
+            if getattr(asked.http, "too_large", False):
+                raise error.CodedError(
+                    "body-too-large", step="read", status=413
+                )
+            await chain.run(asked, self._given)
+        except error.CodedError as refused:
+            asked.outcome, asked.code = refused.outcome, refused.code
+            if not asked.left:
+                problem.write(asked.http, refused, asked.id)
+        except writer.BrokenError as broken:
+            asked.code = broken.code
+            _break_off(asked, broken)
+        except writer.CallerLeftError:
+            asked.outcome = error.OUTCOME_UNKNOWN
+            asked.code = "caller-left"
+        self._note(asked)
+
+    def _note(self, asked: call.Call) -> None:
+        """Count a request that has ended."""
+        given = self._given
+        given.note_decision(asked)
+        name = asked.workspace.name if asked.workspace else ""
+        labels = {
+            "workspace": given.metrics.workspace(name) if name else "none",
+            "class": str(asked.priority),
+        }
+        outcome = {"outcome": asked.outcome, "code": asked.code}
+        given.metrics.requests.inc({**labels, **outcome})
+        now = given.clock.monotonic()
+        given.metrics.whole.observe(labels, now - asked.arrived_at)
+        if asked.first_byte_at is not None:
+            first_s = asked.first_byte_at - asked.arrived_at
+            given.metrics.first_byte.observe(labels, first_s)
+
+    def _bug(self, reason: failure.Failure, asked: call.Call) -> None:
+        """Answer a request that a fault of ours has ended."""
+        LOG.error(
+            "A request ended by a fault of ours.",
+            request=asked.id,
+            reason=reason.getTraceback(),
+        )
+        if not asked.left and not asked.http.startedWriting:
+            fault = error.CodedError(
+                "internal",
+                step="serve",
+                status=500,
+                outcome=error.OUTCOME_UNKNOWN,
+            )
+            problem.write(asked.http, fault, asked.id)
+        elif not asked.left:
+            asked.http.channel.forceAbortClient()
+
+
+def _left(_: Any, asked: call.Call) -> None:
+    """Note that a caller has gone before its answer was whole."""
+    asked.left = True
+    if asked.on_left is not None:
+        asked.on_left()
+    if asked.turn is not None and not asked.turn.called:
+        asked.turn.errback(writer.CallerLeftError())
+
+
+def _break_off(asked: call.Call, broken: writer.BrokenError) -> None:
+    """Let the caller see that its answer is not whole."""
+    LOG.warning(
+        "An answer broke off.",
+        request=asked.id,
+        code=broken.code,
+        peer=broken.peer,
+    )
+    if not asked.left:
+        asked.http.channel.forceAbortClient()
+
+
+def request_class(body_bytes: int) -> type[server.Request]:
+    """Return a request class that holds bodies in bounded memory."""
+
+    class Request(server.Request):
+        """A request whose body is kept in memory up to a limit."""
+
+        too_large = False
+
+        def gotLength(self, length: int | None) -> None:  # noqa: N802
+            """Keep any body in memory: boxes have no disks."""
+            super().gotLength(min(length or 0, 1))
+            self.too_large = (length or 0) > body_bytes
+
+        def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+            """Take a piece of the body, unless it is too large."""
+            size = self.content.tell() + len(data)
+            self.too_large = self.too_large or size > body_bytes
+            if not self.too_large:
+                super().handleContentChunk(data)
+
+        def getHeader(self, key: Any) -> Any:  # noqa: N802
+            """Return the last header of a name as text."""
+            return http.Request.getHeader(self, key)
+
+    return Request
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -0,0 +1,267 @@
+"""Follows the log and keeps the configuration that is in force here.
+
+The state's offset only ever rises.  While the log cannot be asked, the
+state comes from peers, and again only a higher offset is taken.  A process
+that could ask neither since its start is not ready.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from reelscale_core import clock, error, fold, snapshot
+from reelscale_core import state as states
+from reelscale_wire import link
+from reelscale_wire.gen import ttypes
+from twisted.internet import defer, task
+
+from .. import logs
+from ..adapters import platform
+
+LOG = logs.Part("config")
+RETRY_S = 0.25
+PEER_TIMEOUT_S = 2.0
+# The log counts as out of reach after this long without an answer.
+LOG_FRESH_S = 3.0
+
+
+class Config:
+    """The configuration in force at this process."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        platform: platform.Platform,
+        links: link.Links,
+        peers: tuple[str, ...],
+        snapshot_every: int,
+        poll_s: float = platform.POLL_S,
+    ) -> None:
+        self.state = states.State()
+        self.ready = False
+        self.gap = False
+        self.seen_by_lease: dict[str, tuple[int, float]] = {}
+        self._reactor = reactor
+        self._clock = clock
+        self._platform = platform
+        self._links = links
+        self.peers = set(peers)
+        self._down_said = False
+        self._snapshot_every = snapshot_every
+        self._poll_s = poll_s
+        self._log_at = float("-inf")
+        self._last_snapshot = 0
+        self._listeners: list[Callable[[states.State], None]] = []
+        self._waiters: list[tuple[Callable[[], Any], defer.Deferred]] = []
+        self._pulling = False
+        self._stopped = False
+
+    def listen(self, listener: Callable[[states.State], None]) -> None:
+        """Call a function after every change of the state."""
+        self._listeners.append(listener)
+
+    def log_age_s(self) -> float:
+        """Return seconds since the log last answered."""
+        return self._clock.monotonic() - self._log_at
+
+    def log_age_ms(self) -> int:
+        """Return the same in whole milliseconds, bounded for the wire."""
+        return int(min(self.log_age_s(), 1e6) * 1000)
+
+    def stop(self) -> None:
+        """Follow the log no longer."""
+        self._stopped = True
+
+    async def run(self) -> None:
+        """Follow the log until stopped."""
+        while not self._stopped:
+            try:
+                await self._read()
+            except error.CodedError as down:
+                if self.log_age_s() > LOG_FRESH_S:
+                    await self._ask_peers(down)
+                await self._pause(RETRY_S * (1 + random.random()))
+
+    async def settled(
+        self, plan_id: str, timeout_s: float
+    ) -> states.Verdict | None:
+        """Wait until the fold has judged a plan; None if it takes long."""
+
+        def verdict() -> states.Verdict | None:
+            return self.state.verdicts_by_id.get(plan_id)
+
+        return await self._until(verdict, timeout_s)
+
+    async def planned(self, plan_id: str, timeout_s: float) -> Any:
+        """Wait until the fold has taken a plan in; None if it takes long."""
+
+        def row() -> Any:
+            return self.state.plans_by_id.get(plan_id)
+
+        return await self._until(row, timeout_s)
+
+    async def _until(self, find: Callable[[], Any], timeout_s: float) -> Any:
+        """Wait until a function of the state finds something."""
+        found = find()
+        if found is not None:
+            return found
+        waiter: defer.Deferred = defer.Deferred()
+        row = (find, waiter)
+        self._waiters.append(row)
+        later = self._reactor.callLater(timeout_s, waiter.callback, None)
+        await waiter
+        if later.active():
+            later.cancel()
+        if row in self._waiters:
+            self._waiters.remove(row)
+        return find()
+
+    def hear(self, peer: str, offset: int) -> None:
+        """Note a peer's offset; pull its state if it is ahead of the log."""
+        behind = offset > self.state.offset
+        if behind and self.log_age_s() > LOG_FRESH_S and not self._pulling:
+            defer.ensureDeferred(self._pull(peer))
+
+    def answer(self, have_offset: int) -> ttypes.StateReply:
+        """Answer a peer that asks for the state."""
+        if have_offset >= self.state.offset:
+            return ttypes.StateReply(
+                offset=self.state.offset, digest="", state=b""
+            )
+        text = states.dump(self.state)
+        return ttypes.StateReply(
+            offset=self.state.offset,
+            digest=states.digest(text),
+            state=text.encode(),
+        )
+
+    async def _read(self) -> None:
+        wait_s = self._poll_s if self.ready else 0.0
+        got = await self._platform.read(self.state.offset + 1, wait_s=wait_s)
+        self._log_at = self._clock.monotonic()
+        self._down_said = False
+        if got.oldest > self.state.offset + 1:
+            await self._jump(got)
+            return
+        self._take(fold.fold(self.state, got.rows))
+        self._note_snapshots(got.rows)
+        if self.state.offset + 1 >= got.head:
+            self.ready = True
+            self.gap = False
+        await self._maybe_snapshot(got.oldest)
+
+    async def _jump(self, got: platform.Rows) -> None:
+        """Get over records that the log no longer keeps."""
+        rows: list[tuple[int, Any]] = []
+        at = got.oldest
+        while at < got.head:
+            more = await self._platform.read(at, wait_s=0)
+            if not more.rows:
+                break
+            rows += more.rows
+            at = more.rows[-1][0] + 1
+        whole = snapshot.newest(rows)
+        usable = whole is not None and whole.offset + 1 >= got.oldest
+        if not usable or whole.offset <= self.state.offset:
+            self.gap = True
+            LOG.error(
+                "The log has dropped records that no snapshot covers.",
+                have=self.state.offset,
+                oldest=got.oldest,
+            )
+            await self._ask_peers(None)
+            await self._pause(1.0)
+            return
+        self.gap = False
+        self._take(fold.fold(whole, rows))
+        self._note_snapshots(rows)
+
+    def _take(self, new: states.State) -> None:
+        """Bring a state into force, if it is newer."""
+        if new.offset <= self.state.offset:
+            return
+        self.state = new
+        now = self._clock.monotonic()
+        for name, lease in new.leases_by_name.items():
+            if self.seen_by_lease.get(name, (0, 0.0))[0] != lease.offset:
+                self.seen_by_lease[name] = (lease.offset, now)
+        for listener in self._listeners:
+            listener(new)
+        for find, waiter in list(self._waiters):
+            if find() is not None and not waiter.called:
+                waiter.callback(None)
+
+    def _note_snapshots(self, rows: list[tuple[int, Any]]) -> None:
+        for offset, data in rows:
+            if isinstance(data, dict) and data.get("kind") == "snapshot":
+                self._last_snapshot = offset
+
+    async def _maybe_snapshot(self, oldest: int) -> None:
+        """Write a snapshot when the last one has grown old.
+
+        Any process may; a random wait lets one go first, and two equal
+        snapshots do no harm.
+        """
+        since = self.state.offset - max(self._last_snapshot, oldest - 1)
+        if since < self._snapshot_every:
+            return
+        seen = self._last_snapshot
+        await self._pause(random.random() * 2)
+        got = await self._platform.read(self.state.offset + 1, wait_s=0)
+        self._take(fold.fold(self.state, got.rows))
+        self._note_snapshots(got.rows)
+        if self._last_snapshot != seen:
+            return
+        for part in snapshot.cut(self.state):
+            await self._platform.append([part])
+        LOG.info("Wrote a snapshot.", offset=self.state.offset)
+
+    async def _ask_peers(self, down: error.CodedError | None) -> None:
+        """Ask all known peers; ready once any has answered with a state."""
+        heard = False
+        for peer in sorted(self.peers):
+            heard = await self._pull(peer) or heard
+        self.ready = self.ready or heard
+        if down is not None and self.ready and not self._down_said:
+            self._down_said = True
+            LOG.warning(
+                "The log cannot be asked; serving on what is in force.",
+                offset=self.state.offset,
+                reason=down.detail,
+            )
+
+    async def _pull(self, peer: str) -> bool:
+        """Take a peer's state if it is newer; tell whether it has one."""
+        self._pulling = True
+        try:
+            reply = await self._links.to(peer).call(
+                "state",
+                ttypes.StateRequest(have_offset=self.state.offset),
+                timeout_s=PEER_TIMEOUT_S,
+            )
+        except link.LinkError:
+            return False
+        finally:
+            self._pulling = False
+        if reply.state:
+            return self._take_peers(peer, reply)
+        return reply.offset >= 0
+
+    def _take_peers(self, peer: str, reply: ttypes.StateReply) -> bool:
+        text = reply.state.decode()
+        if states.digest(text) != reply.digest:
+            LOG.error("A peer sent a damaged state.", peer=peer)
+            return False
+        self._take(states.load(text))
+        LOG.info(
+            "Took the state of a peer.", peer=peer, offset=self.state.offset
+        )
+        return True
+
+    async def _pause(self, seconds: float) -> None:
+        await task.deferLater(self._reactor, seconds)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/intents.py
@@ -0,0 +1,145 @@
+"""Makes plans of operators' intents and has them confirmed by the log."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import uuid
+from collections.abc import Sequence
+from typing import Any
+
+from reelscale_core import error, plan, record
+from reelscale_core import state as states
+
+from .. import logs
+from ..adapters import platform
+from . import config, membership
+
+LOG = logs.Part("intents")
+# An operator's answer waits this long for the log to be read back.
+SETTLE_S = 5.0
+
+
+class Intents:
+    """The operators' side of one entry."""
+
+    def __init__(
+        self,
+        *,
+        config: config.Config,
+        platform: platform.Platform,
+        membership: membership.Membership,
+    ) -> None:
+        self._config = config
+        self._platform = platform
+        self._membership = membership
+
+    async def plan(self, intent: Any, author: str) -> plan.Plan:
+        """Make a plan and put it into the log; nothing changes yet.
+
+        Raises:
+          CodedError: The intent is wrong, or the log is down.
+        """
+        self._must_be_ready("plan")
+        made = plan.make(
+            self._config.state,
+            intent,
+            author=author,
+            nonce=uuid.uuid4().hex,
+            loads_by_group=self.loads_by_group(),
+        )
+        await self._append(made.record, made.record.id, step="plan")
+        LOG.info("Made a plan.", plan=made.record.id, author=author)
+        return made
+
+    async def confirm(self, plan_id: str, author: str) -> states.Verdict:
+        """Confirm a plan; repeats are harmless.
+
+        Returns:
+          The verdict, read back from the log.
+
+        Raises:
+          CodedError: "log-down" or "unsettled", both with the outcome
+            unknown: ask again with the same id; or "unknown-plan".
+        """
+        self._must_be_ready("confirm")
+        state = self._config.state
+        if plan_id in state.verdicts_by_id:
+            return state.verdicts_by_id[plan_id]
+        if plan_id not in state.plans_by_id:
+            raise error.CodedError(
+                "unknown-plan",
+                step="confirm",
+                peer=plan_id,
+                status=404,
+                detail="this entry has seen no plan of this id",
+            )
+        item = record.ConfirmRecord(plan=plan_id)
+        verdict = await self._append(item, plan_id, step="confirm")
+        LOG.info(
+            "A plan was judged.",
+            plan=plan_id,
+            accepted=verdict.accepted,
+            offset=verdict.offset,
+            author=author,
+        )
+        return verdict
+
+    def loads_by_group(self) -> dict[str, Sequence[Sequence[float]]]:
+        """Return recent tokens by group, layer and expert."""
+        groups = self._config.state.groups_by_name
+        total: dict[str, list[float]] = {}
+        for view in self._membership.views_by_name.values():
+            target = view.upstream.target
+            if target not in groups or view.pulse is None:
+                continue
+            heat = view.pulse.heat
+            sums = total.setdefault(target, [0.0] * len(heat))
+            if len(heat) == len(sums):
+                total[target] = [
+                    a + b for a, b in zip(sums, heat, strict=True)
+                ]
+        return {
+            name: _layers(heat, groups[name].experts)
+            for name, heat in total.items()
+        }
+
+    async def _append(
+        self, item: record.Record, plan_id: str, *, step: str
+    ) -> states.Verdict | None:
+        """Append a record and wait until it is read back.
+
+        An append whose answer was lost is settled by reading on.
+        """
+        lost = None
+        try:
+            await self._platform.append([record.to_json(item)])
+        except error.CodedError as down:
+            lost = down
+        wait_s = 1.0 if lost else SETTLE_S
+        if step == "plan":
+            found = await self._config.planned(plan_id, wait_s)
+        else:
+            found = await self._config.settled(plan_id, wait_s)
+        if found is not None:
+            return found
+        raise error.CodedError(
+            "log-down" if lost else "unsettled",
+            step=step,
+            peer=plan_id,
+            status=503,
+            detail="the log did not confirm this; ask again with this id",
+            retry_after_s=2,
+            outcome=error.OUTCOME_UNKNOWN,
+        )
+
+    def _must_be_ready(self, step: str) -> None:
+        if not self._config.ready:
+            raise error.CodedError(
+                "not-ready", step=step, status=503, retry_after_s=1
+            )
+
+
+def _layers(heat: Sequence[float], experts: int) -> list[list[float]]:
+    return [
+        list(heat[at : at + experts]) for at in range(0, len(heat), experts)
+    ]
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
@@ -0,0 +1,251 @@
+"""Brings a group onto its configured layout, under a lease in the log.
+
+Any agent of the group may take the lease; each watches its own ranks, so
+whoever sees something to do does it.  Agents wait in an order of their own
+for each group, so that as a rule the first claims alone.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import uuid
+from typing import Any
+
+import orjson
+from reelscale_core import (
+    clock,
+    error,
+    lease,
+    model,
+    record,
+    rendezvous,
+    schedule,
+)
+from reelscale_wire import link
+from reelscale_wire.gen import ttypes
+from twisted.internet import defer, task
+
+from .. import logs
+from ..adapters import engine as engines
+from ..adapters import platform
+from . import config, orders
+
+LOG = logs.Part("layout")
+TICK_S = 0.2
+# The n-th agent in a group's order claims this many seconds after noticing.
+CLAIM_STEP_S = 1.0
+ORDER_TIMEOUT_S = 20.0
+ROUND_PAUSE_S = 0.02
+CLAIM_WAIT_S = 3.0
+
+
+class Layouts:
+    """One agent's part in the layout changes of its group."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        config: config.Config,
+        platform: platform.Platform,
+        links: link.Links,
+        orders: orders.Orders,
+        engine: engines.Engine,
+        name: str,
+        incarnation: str,
+        lease_s: float,
+    ) -> None:
+        self.rank = schedule.Rank()
+        self._reactor = reactor
+        self._clock = clock
+        self._config = config
+        self._platform = platform
+        self._links = links
+        self._orders = orders
+        self._engine = engine
+        self._name = name
+        self._holder = f"{name}/{incarnation}"
+        self._lease_s = lease_s
+        self._held: lease.Held | None = None
+        self._noticed_at: float | None = None
+        self._busy = False
+        self._stopped = False
+        self._loop = task.LoopingCall(self._tick)
+
+    def start(self) -> None:
+        """Begin to watch the own ranks."""
+        self._loop.start(TICK_S)
+
+    def stop(self) -> None:
+        """Take no further part; a lease held is left to lapse."""
+        self._stopped = True
+        if self._loop.running:
+            self._loop.stop()
+
+    def _tick(self) -> None:
+        if not self._busy:
+            self._busy = True
+            defer.ensureDeferred(self._turn())
+
+    async def _turn(self) -> None:
+        try:
+            await self._watch()
+        except Exception as lost:
+            LOG.warning("A turn ended early.", reason=repr(lost))
+        finally:
+            self._busy = False
+
+    async def _watch(self) -> None:
+        """Look at the own ranks; act when they are not as configured."""
+        group = self._group()
+        if group is None or group.layout.version == 0:
+            return
+        self.rank = await self._engine.rank()
+        rank = self.rank
+        settled = rank.version == group.layout.version
+        if settled and not rank.next_version:
+            self._noticed_at = None
+            return
+        now = self._clock.monotonic()
+        if self._noticed_at is None:
+            self._noticed_at = now
+        members = self._members(group)
+        turn = rendezvous.order(group.name, members).index(self._name)
+        if now < self._noticed_at + turn * CLAIM_STEP_S:
+            return
+        if await self._claim(group):
+            await self._change(group.name)
+
+    def _group(self) -> model.Group | None:
+        mine = self._config.state.upstreams_by_name.get(self._name)
+        if mine is None:
+            return None
+        return self._config.state.groups_by_name.get(mine.target)
+
+    def _members(self, group: model.Group) -> list[str]:
+        upstreams = self._config.state.upstreams_by_name.values()
+        return [item.name for item in upstreams if item.target == group.name]
+
+    async def _claim(self, group: model.Group) -> bool:
+        """Take or renew the group's lease; tell whether it is held."""
+        now = self._clock.monotonic()
+        half = self._lease_s / 2
+        if self._held and lease.usable(self._held, now + half):
+            return True
+        name = f"group/{group.name}"
+        current = self._config.state.leases_by_name.get(name)
+        mine = self._held and current and current.offset == self._held.fence
+        read_at = self._config.seen_by_lease.get(name, (0, 0.0))[1]
+        if not mine and not lease.claimable(current, read_at=read_at, now=now):
+            return False
+        return await self._append_claim(name, current.offset if current else 0)
+
+    async def _append_claim(self, name: str, replaces: int) -> bool:
+        claim = record.LeaseRecord(
+            id=uuid.uuid4().hex,
+            name=name,
+            holder=self._holder,
+            ttl_ms=int(self._lease_s * 1000),
+            replaces=replaces,
+        )
+        asked_at = self._clock.monotonic()
+        try:
+            await self._platform.append([record.to_json(claim)])
+        except error.CodedError:
+            # The claim may be in the log all the same: read on for it.
+            pass
+        while self._clock.monotonic() < asked_at + CLAIM_WAIT_S:
+            current = self._config.state.leases_by_name.get(name)
+            if current is not None and current.offset > replaces:
+                self._held = lease.held(
+                    name, current, claim_id=claim.id, asked_at=asked_at
+                )
+                return self._held is not None
+            await task.deferLater(self._reactor, ROUND_PAUSE_S)
+        return False
+
+    async def _change(self, name: str) -> None:
+        """Give orders, round after round, until all is as configured."""
+        ranks: dict[str, schedule.Rank] = {}
+        said = ""
+        while not self._stopped:
+            group = self._config.state.groups_by_name.get(name)
+            if group is None or not await self._claim(group):
+                return
+            held = self._held
+            members = frozenset(self._members(group))
+            wanted = group.layout.version
+            plan = schedule.plan_round(
+                ranks, members, wanted=wanted, fence=held.fence
+            )
+            if plan.done:
+                LOG.info(
+                    "A group is on its layout.", group=name, layout=wanted
+                )
+                return
+            if plan.waiting != said:
+                said = plan.waiting
+                LOG.info("A layout change waits.", group=name, waits_for=said)
+            ranks = await self._round(group, plan, ranks)
+            await task.deferLater(self._reactor, ROUND_PAUSE_S)
+
+    async def _round(
+        self,
+        group: model.Group,
+        plan: schedule.Round,
+        ranks: dict[str, schedule.Rank],
+    ) -> dict[str, schedule.Rank]:
+        """Send one round of orders; a rank that is silent is asked anew."""
+        names = sorted(plan.orders)
+        replies = await defer.gatherResults(
+            [
+                defer.ensureDeferred(
+                    self._send(group, name, plan.orders[name])
+                )
+                for name in names
+            ]
+        )
+        ranks = dict(ranks)
+        for name, rank in zip(names, replies, strict=True):
+            if rank is None:
+                ranks.pop(name, None)
+            else:
+                ranks[name] = rank
+        return ranks
+
+    async def _send(
+        self, group: model.Group, name: str, order: schedule.Order
+    ) -> schedule.Rank | None:
+        """Send one order if the lease still holds right now."""
+        layout = ""
+        if isinstance(order, schedule.Stage):
+            layout = _layout_json(group, order.version)
+        message = orders.to_wire(group.name, order, layout)
+        if not lease.usable(self._held, self._clock.monotonic()):
+            return None
+        try:
+            reply = await self._give(name, message)
+        except link.LinkError:
+            return None
+        if reply.rank is None:
+            return None
+        return orders.rank_from_wire(reply.rank)
+
+    async def _give(
+        self, name: str, message: ttypes.Order
+    ) -> ttypes.OrderReply:
+        if name == self._name:
+            return await self._orders.order(message)
+        upstream = self._config.state.upstreams_by_name[name]
+        return await self._links.to(upstream.agent).call(
+            "order", message, timeout_s=ORDER_TIMEOUT_S
+        )
+
+
+def _layout_json(group: model.Group, version: int) -> str:
+    """Return a layout that ranks may need, as JSON."""
+    for layout in (group.layout, *group.earlier):
+        if layout.version == version:
+            return orjson.dumps(model.to_json(layout)).decode()
+    raise KeyError(version)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
@@ -0,0 +1,247 @@
+"""What an entry knows of upstreams and of other entries, by heartbeat.
+
+An upstream may be sent new work only on a fresh grant of its agent, so a
+wrong or old view cannot send work to one that has left.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import dataclasses
+from typing import Any
+
+from reelscale_core import circuit, clock, error, model, rendezvous, routing
+from reelscale_wire import link
+from reelscale_wire.gen import ttypes
+from twisted.internet import defer, task
+
+from .. import logs
+from ..adapters import platform
+from . import config
+
+LOG = logs.Part("membership")
+# Other entries that an entry exchanges offsets with.
+PEER_ENTRIES = 8
+BOXES_EVERY_S = 2.0
+HEARTBEAT_TIMEOUT_S = 1.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class View:
+    """An upstream as this entry sees it.
+
+    Attributes:
+      upstream: Its configuration.
+      pulse: The newest answer of its agent.
+      heard_at: Monotonic seconds just before that answer was asked for.
+      own: Requests of this entry in progress there.
+      own_reported: Those in progress when the pulse was asked for.
+      breaker: Its circuit breaker.
+    """
+
+    upstream: model.Upstream
+    pulse: ttypes.Pulse | None = None
+    heard_at: float = float("-inf")
+    own: int = 0
+    own_reported: int = 0
+    breaker: circuit.Circuit = circuit.CLOSED
+    beating: bool = False
+
+    def candidate(self, now: float) -> routing.Candidate:
+        """Return what routing looks at."""
+        pulse = self.pulse
+        name, hall = self.upstream.name, self.upstream.hall
+        if pulse is None:
+            return routing.Candidate(
+                name, hall, 0, 0.0, self.own, 0, 0, 0, 0, 0.0, 0.0, False
+            )
+        lapse_s = pulse.grant.lapse_ms / 1000
+        return routing.Candidate(
+            name=name,
+            hall=hall,
+            slots=pulse.grant.slots,
+            until=self.heard_at + lapse_s,
+            own=self.own,
+            own_reported=self.own_reported,
+            running=pulse.running,
+            queued=pulse.queued,
+            capacity=pulse.capacity,
+            step_ms=pulse.step_ms,
+            reported_at=self.heard_at,
+            allowed=circuit.allows(self.breaker, now)
+            and pulse.healthy
+            and not pulse.leaving,
+        )
+
+
+class Membership:
+    """Keeps views of upstreams and offsets of other entries."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        config: config.Config,
+        links: link.Links,
+        platform: platform.Platform,
+        name: str,
+        incarnation: str,
+        hall: str,
+        peer: str,
+        subset: int,
+        heartbeat_s: float,
+    ) -> None:
+        self.views_by_name: dict[str, View] = {}
+        self.peer_offsets_by_name: dict[str, int] = {}
+        self.waiting_by_target: dict[str, int] = {}
+        self.on_change: list[Any] = []
+        self._reactor = reactor
+        self._clock = clock
+        self._config = config
+        self._links = links
+        self._platform = platform
+        self._name = name
+        self._incarnation = incarnation
+        self._hall = hall
+        self._peer = peer
+        self._subset = subset
+        self._heartbeat_s = heartbeat_s
+        self._leaving: set[str] = set()
+        self._entries: dict[str, str] = {}
+        self._loops: list[task.LoopingCall] = []
+        config.listen(lambda _state: self._choose())
+
+    def start(self) -> None:
+        """Begin to exchange heartbeats."""
+        for every_s, function in (
+            (self._heartbeat_s, self._beat_all),
+            (BOXES_EVERY_S, self._read_boxes),
+        ):
+            loop = task.LoopingCall(function)
+            loop.start(every_s)
+            self._loops.append(loop)
+
+    def stop(self) -> None:
+        """End the heartbeats; grants lapse at the agents."""
+        for loop in self._loops:
+            loop.stop()
+
+    def candidates(self, target: str) -> list[routing.Candidate]:
+        """Return the upstreams that may serve a target."""
+        now = self._clock.monotonic()
+        return [
+            view.candidate(now)
+            for view in self.views_by_name.values()
+            if view.upstream.target == target
+            and view.upstream.name not in self._leaving
+            and not view.upstream.leaving
+            and view.upstream.role == "serve"
+        ]
+
+    def view(self, upstream: model.Upstream) -> View:
+        """Return the view of an upstream, also outside the subset."""
+        found = self.views_by_name.get(upstream.name)
+        if found is None:
+            found = View(upstream=upstream)
+            self.views_by_name[upstream.name] = found
+        return found
+
+    def _choose(self) -> None:
+        """Follow the configuration: whom to keep in touch with."""
+        state = self._config.state
+        names_by_target: dict[str, list[str]] = {}
+        for upstream in state.upstreams_by_name.values():
+            names_by_target.setdefault(upstream.target, []).append(
+                upstream.name
+            )
+        wanted = set()
+        for names in names_by_target.values():
+            wanted.update(
+                rendezvous.subset(self._name, names, size=self._subset)
+            )
+        for name in set(self.views_by_name) - wanted:
+            if not self.views_by_name[name].own:
+                del self.views_by_name[name]
+        for name in wanted:
+            upstream = state.upstreams_by_name[name]
+            view = self.view(upstream)
+            if view.upstream.agent != upstream.agent:
+                view.pulse = None
+            view.upstream = upstream
+        self._beat_all()
+
+    def _beat_all(self) -> None:
+        for view in list(self.views_by_name.values()):
+            if not view.beating:
+                defer.ensureDeferred(self._beat(view))
+        mine = rendezvous.subset(self._name, self._entries, size=PEER_ENTRIES)
+        for name in mine:
+            defer.ensureDeferred(self._beat_entry(self._entries[name]))
+
+    async def _beat(self, view: View) -> None:
+        """Exchange a heartbeat with one agent."""
+        view.beating = True
+        asked_at = self._clock.monotonic()
+        own = view.own
+        waiting = self.waiting_by_target.get(view.upstream.target, 0)
+        beat = self._message({view.upstream.name: own + waiting})
+        try:
+            pulse = await self._links.to(view.upstream.agent).call(
+                "heartbeat", beat, timeout_s=HEARTBEAT_TIMEOUT_S
+            )
+        except link.LinkError:
+            return
+        finally:
+            view.beating = False
+        if pulse.name != view.upstream.name:
+            LOG.error(
+                "An agent answers to another name than configured.",
+                expected=view.upstream.name,
+                got=pulse.name,
+            )
+            return
+        view.pulse = pulse
+        view.heard_at = asked_at
+        view.own_reported = own
+        self._config.hear(pulse.peer, pulse.offset)
+        for listener in self.on_change:
+            listener()
+
+    async def _beat_entry(self, address: str) -> None:
+        """Exchange offsets with another entry."""
+        try:
+            pulse = await self._links.to(address).call(
+                "heartbeat", self._message({}), timeout_s=HEARTBEAT_TIMEOUT_S
+            )
+        except link.LinkError:
+            return
+        self.peer_offsets_by_name[pulse.name] = pulse.offset
+        self._config.hear(address, pulse.offset)
+
+    def _message(self, wanted: dict[str, int]) -> ttypes.Heartbeat:
+        return ttypes.Heartbeat(
+            name=self._name,
+            incarnation=self._incarnation,
+            hall=self._hall,
+            offset=self._config.state.offset,
+            wanted=wanted,
+            log_age_ms=self._config.log_age_ms(),
+            peer=self._peer,
+        )
+
+    async def _read_boxes(self) -> None:
+        """Read the platform's list; it only ever takes upstreams away."""
+        try:
+            boxes = await self._platform.boxes()
+        except error.CodedError:
+            return
+        self._leaving = {
+            box.name for box in boxes if box.role == "upstream" and box.leaving
+        }
+        self._entries = {
+            box.name: box.peer
+            for box in boxes
+            if box.role == "entry" and box.name != self._name
+        }
+        self._config.peers.update(self._entries.values())
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/orders.py
@@ -0,0 +1,165 @@
+"""The gate for orders to one engine: no order with an old fence passes.
+
+Not every engine checks fences, so the agent on its box, the only path to
+it, always does.  Orders go one at a time.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any
+
+import orjson
+from reelscale_core import clock, lease, model, schedule
+from reelscale_wire.gen import ttypes
+from twisted.internet import defer
+
+from .. import logs
+from ..adapters import engine as engines
+from . import config
+
+LOG = logs.Part("orders")
+
+
+class Orders:
+    """Checks the fence of each order and passes it on."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        config: config.Config,
+        engine: engines.Engine,
+        lease_s: float,
+    ) -> None:
+        self.fence = 0
+        self._clock = clock
+        self._config = config
+        self._engine = engine
+        self._started_at = clock.monotonic()
+        self._lease_s = lease_s
+        self._lock = defer.DeferredLock()
+
+    async def order(self, message: ttypes.Order) -> ttypes.OrderReply:
+        """Carry an order out, or refuse it."""
+        await self._lock.acquire()
+        try:
+            return await self._order(message)
+        finally:
+            self._lock.release()
+
+    async def _order(self, message: ttypes.Order) -> ttypes.OrderReply:
+        code = self._refusal(message)
+        if code:
+            LOG.warning(
+                "Refused an order.",
+                code=code,
+                kind=message.kind,
+                fence=message.fence,
+                highest=self.fence,
+            )
+            return ttypes.OrderReply(accepted=False, code=code)
+        self.fence = message.fence
+        order, layout = from_wire(message)
+        try:
+            rank, accepted = await self._engine.order(order, layout)
+        except Exception as lost:
+            LOG.warning("The engine did not answer an order.", reason=lost)
+            return ttypes.OrderReply(accepted=False, code="engine-lost")
+        return ttypes.OrderReply(
+            accepted=accepted, code="", rank=rank_to_wire(rank)
+        )
+
+    def _refusal(self, message: ttypes.Order) -> str:
+        """Say why an order may not pass, or return an empty string."""
+        held = self._config.state.leases_by_name.get(f"group/{message.group}")
+        highest = max(self.fence, held.offset if held else 0)
+        if message.fence < highest:
+            return "old-fence"
+        if not self._config.ready:
+            return "not-ready"
+        if self._blank():
+            return "fence-unknown"
+        return ""
+
+    def _blank(self) -> bool:
+        """Tell whether an older order could pass for a newer one.
+
+        A new agent that has not heard the log itself waits until every
+        lease given before its start has lapsed.
+        """
+        if self._config.log_age_s() < float("inf"):
+            return False
+        wait_s = self._lease_s * (1 + lease.DRIFT)
+        return self._clock.monotonic() < self._started_at + wait_s
+
+
+def to_wire(
+    group: str, order: schedule.Order, layout_json: str
+) -> ttypes.Order:
+    """Turn an order into a message."""
+    data: dict[str, Any] = order._asdict()
+    return ttypes.Order(
+        group=group,
+        fence=data["fence"],
+        kind=type(order).__name__.lower(),
+        version=data.get("version", 0),
+        layout=layout_json,
+        step=data.get("step", 0),
+        next_version=data.get("next_version", 0),
+        next_step=data.get("next_step", 0),
+    )
+
+
+def from_wire(
+    message: ttypes.Order,
+) -> tuple[schedule.Order, model.Layout | None]:
+    """Turn a message into an order and, with stage, its layout."""
+    fence, version, step = message.fence, message.version, message.step
+    match message.kind:
+        case "probe":
+            return schedule.Probe(fence), None
+        case "stage":
+            return schedule.Stage(fence, version), parse_layout(message.layout)
+        case "prepare":
+            return schedule.Prepare(fence, version, step), None
+        case "decide":
+            return schedule.Decide(fence, version, step), None
+        case "commit":
+            return schedule.Commit(fence, version, step), None
+        case "release":
+            return schedule.Release(fence), None
+        case "adopt":
+            order = schedule.Adopt(
+                fence, version, step, message.next_version, message.next_step
+            )
+            return order, None
+        case other:
+            raise ValueError(f"unknown order {other!r}")
+
+
+def parse_layout(text: str) -> model.Layout:
+    """Read a layout as it travels with a stage order."""
+    return model.layout(orjson.loads(text))
+
+
+def rank_to_wire(rank: schedule.Rank) -> ttypes.RankState:
+    """Turn what a rank holds into a message."""
+    data = rank._asdict()
+    data["staged"] = sorted(rank.staged)
+    return ttypes.RankState(**data)
+
+
+def rank_from_wire(message: ttypes.RankState) -> schedule.Rank:
+    """Turn a message into what a rank holds."""
+    return schedule.Rank(
+        fence=message.fence,
+        version=message.version,
+        step=message.step,
+        staged=frozenset(message.staged),
+        next_version=message.next_version,
+        next_step=message.next_step,
+        decided=message.decided,
+        committed=message.committed,
+        incarnation=message.incarnation,
+    )
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/entry.py
@@ -0,0 +1,149 @@
+"""The entry: the process on each entry box, between callers and agents."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any
+
+from reelscale_core import settings
+from reelscale_wire import link
+from reelscale_wire.gen import Peer, ttypes
+from twisted.internet import defer, task
+from twisted.web import resource
+from zope.interface import implementer
+
+from . import callers, health, logs, metrics, operators, process
+from .controllers import intents, membership
+from .filters import parts
+
+LOG = logs.Part("entry")
+STOP_POLL_S = 0.05
+
+
+@implementer(Peer.Iface)
+class Entry:
+    """One entry and its parts."""
+
+    def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
+        self.settings = settings
+        self._base = process.Base(reactor=reactor, settings=settings)
+        base = self._base
+        self._metrics = metrics.Metrics()
+        self._membership = membership.Membership(
+            reactor=reactor,
+            clock=base.clock,
+            config=base.config,
+            links=base.links,
+            platform=base.platform,
+            name=settings.name,
+            incarnation=base.incarnation,
+            hall=settings.hall,
+            peer=settings.peer,
+            subset=settings.subset,
+            heartbeat_s=settings.heartbeat.total_seconds(),
+        )
+        self._parts = parts.Parts(
+            reactor=reactor,
+            clock=base.clock,
+            settings=settings,
+            config=base.config,
+            links=base.links,
+            membership=self._membership,
+            metrics=self._metrics,
+            incarnation=base.incarnation,
+        )
+        self._intents = intents.Intents(
+            config=base.config,
+            platform=base.platform,
+            membership=self._membership,
+        )
+
+    async def start(self) -> None:
+        """Serve callers, operators and peers."""
+        base = self._base
+        await base.listen(base.settings.peer, link.Server(handler=self))
+        request_class = callers.request_class(base.settings.body_bytes)
+        site = process.site(self._root(), request_class)
+        await base.listen(base.settings.http, site)
+        defer.ensureDeferred(base.config.run())
+        self._membership.start()
+        base.on_signal(self.stop)
+        LOG.info("Serving.", name=base.settings.name, http=base.settings.http)
+
+    async def stop(self) -> None:
+        """Say not ready, take no more, let requests end, then go."""
+        base = self._base
+        # The platform's balancer needs time to see that we are not ready.
+        await task.deferLater(
+            base.reactor, base.settings.stop_wait.total_seconds()
+        )
+        await base.stop_listening()
+        while self._parts.running:
+            await task.deferLater(base.reactor, STOP_POLL_S)
+        self._membership.stop()
+        base.config.stop()
+        LOG.info("Stopped.")
+
+    # What peers may call, by the names of the Peer service.
+
+    def heartbeat(self, beat: ttypes.Heartbeat) -> ttypes.Pulse:
+        """Exchange offsets with another entry."""
+        base = self._base
+        base.config.hear(beat.peer, beat.offset)
+        self._membership.peer_offsets_by_name[beat.name] = beat.offset
+        return ttypes.Pulse(
+            name=base.settings.name,
+            incarnation=base.incarnation,
+            hall=base.settings.hall,
+            offset=base.config.state.offset,
+            log_age_ms=base.config.log_age_ms(),
+            peer=base.settings.peer,
+        )
+
+    def state(self, request: ttypes.StateRequest) -> ttypes.StateReply:
+        """Give the configuration to a peer that cannot reach the log."""
+        return self._base.config.answer(request.have_offset)
+
+    def _root(self) -> resource.Resource:
+        base = self._base
+        root = resource.Resource()
+        asked = callers.Callers(given=self._parts)
+        root.putChild(b"v1", asked)
+        root.putChild(b"services", asked)
+        root.putChild(b"operator", self._operators())
+        health.add_routes(
+            root,
+            ready=self._not_ready,
+            metrics=self._metrics,
+            refresh=self._refresh,
+        )
+        if base.settings.test_controls:
+            test = resource.Resource()
+            root.putChild(b"test", test)
+            cut = health.Cut(links=base.links, platform=base.platform)
+            test.putChild(b"cut", cut)
+        return root
+
+    def _operators(self) -> operators.Operators:
+        return operators.Operators(
+            settings=self._base.settings,
+            config=self._base.config,
+            membership=self._membership,
+            intents=self._intents,
+            given=self._parts,
+        )
+
+    def _not_ready(self) -> str:
+        if self._base.stopping:
+            return "stopping"
+        return "" if self._base.config.ready else "no configuration yet"
+
+    def _refresh(self) -> None:
+        """Set the gauges before a scrape."""
+        base = self._base
+        self._metrics.offset.set({}, base.config.state.offset)
+        self._metrics.log_age.set({}, min(base.config.log_age_s(), 1e6))
+        self._metrics.running.set({}, self._parts.running)
+        waiting = self._membership.waiting_by_target
+        for target, count in waiting.items():
+            self._metrics.queued.set({"target": target}, count)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/admit.py
@@ -0,0 +1,100 @@
+"""Fourth filter: a request waits for a slot, or is refused at once."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from reelscale_core import admission, error
+from twisted.internet import defer
+
+from . import call, parts
+
+STATUS_BY_CODE = {"displaced": 429, "queue-full": 429, "deadline": 503}
+
+
+async def admit(asked: call.Call, given: parts.Parts) -> None:
+    """Give a request a slot of an upstream, in its fair turn.
+
+    Requests with a key go to the home of the key and take no slot here;
+    that upstream's gate decides.
+
+    Raises:
+      CodedError: "queue-full", "displaced", "deadline" or "no-upstream".
+    """
+    if asked.once_key:
+        return
+    queue = given.queue(asked.target)
+    if not len(queue):
+        asked.choice = given.choose(asked)
+        if asked.choice is not None:
+            given.reserve(asked)
+            return
+    await _wait(asked, given, queue)
+
+
+async def _wait(
+    asked: call.Call, given: parts.Parts, queue: admission.Queue
+) -> None:
+    if not given.reachable(asked.target):
+        raise error.CodedError(
+            "no-upstream",
+            step="admit",
+            peer=asked.target,
+            status=503,
+            detail="no upstream of this target can be reached",
+            retry_after_s=given.retry_after_s(asked),
+        )
+    entry, refusal = queue.offer(
+        id=asked.id,
+        workspace=asked.workspace.name,
+        weight=asked.workspace.weight,
+        priority=asked.priority,
+        deadline=asked.deadline,
+        now=given.clock.monotonic(),
+        item=asked,
+    )
+    if refusal is not None:
+        _refuse(refusal, asked)
+    asked.waiting = entry
+    asked.turn = defer.Deferred()
+    left_s = asked.deadline - given.clock.monotonic()
+    late = given.reactor.callLater(max(0.0, left_s), _late, asked, queue)
+    given.note_queue(asked.target)
+    try:
+        await asked.turn
+    finally:
+        if late.active():
+            late.cancel()
+        queue.drop(entry)
+        given.note_queue(asked.target)
+
+
+def _refuse(refusal: admission.Refusal, newcomer: call.Call) -> None:
+    """Give a refused request its answer now."""
+    problem = error.CodedError(
+        refusal.code,
+        step="admit",
+        status=STATUS_BY_CODE[refusal.code],
+        detail="more is asked than can be served in time",
+        retry_after_s=refusal.retry_after_s,
+    )
+    asked = refusal.waiting.item
+    if asked is newcomer:
+        raise problem
+    if asked.turn is not None and not asked.turn.called:
+        asked.turn.errback(problem)
+
+
+def _late(asked: call.Call, queue: admission.Queue) -> None:
+    """End the wait of a request whose time is up."""
+    if asked.turn is None or asked.turn.called:
+        return
+    after = queue.retry_after_s(asked.id, asked.priority)
+    asked.turn.errback(
+        error.CodedError(
+            "deadline",
+            step="admit",
+            status=503,
+            detail="no slot came free in time",
+            retry_after_s=after,
+        )
+    )
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
@@ -0,0 +1,72 @@
+"""A caller's request on its way through the chain."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from reelscale_core import admission, model, routing
+from twisted.internet import defer
+
+
+@dataclasses.dataclass(kw_only=True)
+class Call:
+    """One request of a caller and what the filters found out.
+
+    Attributes:
+      http: The HTTP request.
+      id: Unique id, also given to the caller.
+      arrived_at: Monotonic seconds.
+      deadline: Monotonic seconds by which it must have started.
+      workspace: Whose request it is.
+      target: The group or service that it goes to.
+      is_model: Whether the target is a group of a model.
+      stream: Whether the caller wants an event stream.
+      method: Method for the upstream.
+      path: Path and query for the upstream.
+      headers: Headers for the upstream.
+      body: Body for the upstream.
+      priority: Class, 0 the most urgent.
+      once: Whether it must not be run twice.
+      once_key: The caller's key for that, empty for none.
+      repeatable: Whether running it twice does no harm.
+      wish: What it asks of routing.
+      choice: The upstream whose slot it holds, if any.
+      waiting: Its place in the queue, if it waits.
+      turn: Fires when it leaves the queue.
+      left: Whether the caller has gone.
+      on_left: Called when it goes, to stop the attempt in progress.
+      outcome: What became of it, for metrics.
+      code: Error code, empty when all went well.
+      first_byte_at: Monotonic seconds of the answer's first chunk.
+      attempts: Upstreams tried, each with the reason it was chosen.
+    """
+
+    http: Any
+    id: str
+    arrived_at: float
+    deadline: float
+    workspace: model.Workspace | None = None
+    target: str = ""
+    is_model: bool = False
+    stream: bool = False
+    method: str = ""
+    path: str = ""
+    headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    body: bytes = b""
+    priority: int = 2
+    once: bool = False
+    once_key: str = ""
+    repeatable: bool = True
+    wish: routing.Wish | None = None
+    choice: routing.Choice | None = None
+    waiting: admission.Waiting | None = None
+    turn: defer.Deferred | None = None
+    left: bool = False
+    on_left: Callable[[], Any] | None = None
+    outcome: str = ""
+    code: str = ""
+    first_byte_at: float | None = None
+    attempts: list[str] = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/limit.py
@@ -0,0 +1,27 @@
+"""Third filter: a workspace has only so many requests in progress."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from reelscale_core import error
+
+from . import call, parts
+
+
+async def limit(asked: call.Call, given: parts.Parts) -> None:
+    """Count a request against its workspace.
+
+    Raises:
+      CodedError: "too-many-running", status 429.
+    """
+    workspace = asked.workspace
+    running = given.running_by_workspace.get(workspace.name, 0)
+    if running >= workspace.max_running:
+        raise error.CodedError(
+            "too-many-running",
+            step="limit",
+            status=429,
+            detail=f"{running} requests of this workspace are in progress",
+            retry_after_s=given.retry_after_s(asked),
+        )
+    given.enter(asked)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -0,0 +1,213 @@
+"""What the filters share: limits, queues, routing and recent decisions."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import collections
+import itertools
+from typing import Any, NamedTuple
+
+from reelscale_core import (
+    admission,
+    circuit,
+    clock,
+    model,
+    retry,
+    routing,
+    settings,
+)
+from reelscale_core import state as states
+from reelscale_wire import link
+
+from .. import metrics
+from ..controllers import config, membership
+from . import call
+
+DECISIONS_KEPT = 2000
+DEFAULT_RETRY_S = 1.0
+
+
+class Decision(NamedTuple):
+    """Why a request went where it went, for "reelscale explain".
+
+    Attributes:
+      request: Id of the request.
+      workspace: Its workspace.
+      target: Its target.
+      attempts: Upstreams tried, each with the reason it was chosen.
+      outcome: "ran", "not-run" or "unknown".
+      code: Error code, empty when all went well.
+      seconds: From arrival to the end.
+    """
+
+    request: str
+    workspace: str
+    target: str
+    attempts: tuple[str, ...]
+    outcome: str
+    code: str
+    seconds: float
+
+
+class Parts:
+    """The state of one entry that the filters work on."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        settings: settings.Settings,
+        config: config.Config,
+        links: link.Links,
+        membership: membership.Membership,
+        metrics: metrics.Metrics,
+        incarnation: str,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.settings = settings
+        self.config = config
+        self.links = links
+        self.membership = membership
+        self.metrics = metrics
+        self.incarnation = incarnation
+        self.running_by_workspace: dict[str, int] = {}
+        self.running = 0
+        self.budget = retry.Budget()
+        self.decisions: collections.OrderedDict[str, Decision] = (
+            collections.OrderedDict()
+        )
+        self._numbers = itertools.count(1)
+        self._queues: dict[str, admission.Queue] = {}
+        self._workspace_by_digest: dict[str, str] = {}
+        config.listen(self._follow)
+        membership.on_change.append(self.pump)
+
+    def next_id(self) -> str:
+        """Return an id that no other request or attempt ever has."""
+        return f"{self.settings.name}-{self.incarnation}-{next(self._numbers)}"
+
+    def workspace_by_digest(self, digest: str) -> str | None:
+        """Return the name of the workspace with a key digest."""
+        return self._workspace_by_digest.get(digest)
+
+    def queue(self, target: str) -> admission.Queue:
+        """Return the queue of a target."""
+        found = self._queues.get(target)
+        if found is None:
+            found = admission.Queue(limit=self.settings.queue)
+            self._queues[target] = found
+        return found
+
+    def retry_after_s(self, asked: call.Call) -> float:
+        """Return when a refused caller should come back."""
+        if not asked.target:
+            return DEFAULT_RETRY_S
+        queue = self.queue(asked.target)
+        return queue.retry_after_s(asked.id, asked.priority)
+
+    def enter(self, asked: call.Call) -> None:
+        """Count a request in."""
+        name = asked.workspace.name
+        self.running_by_workspace[name] = (
+            self.running_by_workspace.get(name, 0) + 1
+        )
+        self.running += 1
+
+    def leave(self, asked: call.Call) -> None:
+        """Count a request out."""
+        name = asked.workspace.name
+        self.running_by_workspace[name] -= 1
+        if not self.running_by_workspace[name]:
+            del self.running_by_workspace[name]
+        self.running -= 1
+
+    def choose(self, asked: call.Call) -> routing.Choice | None:
+        """Choose an upstream for a request."""
+        candidates = self.membership.candidates(asked.target)
+        now = self.clock.monotonic()
+        return routing.choose(candidates, asked.wish, now)
+
+    def reachable(self, target: str) -> bool:
+        """Tell whether any upstream of a target grants anything."""
+        now = self.clock.monotonic()
+        return any(
+            now < item.until and item.slots > 0
+            for item in self.membership.candidates(target)
+        )
+
+    def reserve(self, asked: call.Call) -> None:
+        """Take the slot that a request was given."""
+        view = self.membership.views_by_name[asked.choice.name]
+        view.own += 1
+        view.breaker = circuit.sent(view.breaker)
+
+    def release(self, asked: call.Call) -> None:
+        """Give the slot of a request back and let the next one go."""
+        if asked.choice is None:
+            return
+        view = self.membership.views_by_name.get(asked.choice.name)
+        asked.choice = None
+        if view is not None:
+            view.own -= 1
+        self.pump()
+
+    def pump(self) -> None:
+        """Let waiting requests go as far as slots allow."""
+        for queue in self._queues.values():
+            self._pump(queue)
+
+    def note_queue(self, target: str) -> None:
+        """Tell membership how much waits, for the next grant."""
+        self.membership.waiting_by_target[target] = len(self.queue(target))
+
+    def note_success(self, name: str) -> None:
+        """Close an upstream's circuit."""
+        view = self.membership.views_by_name.get(name)
+        if view is not None:
+            view.breaker = circuit.succeeded(view.breaker)
+
+    def note_failure(self, name: str) -> None:
+        """Count a failure against an upstream's circuit."""
+        view = self.membership.views_by_name.get(name)
+        if view is not None:
+            now = self.clock.monotonic()
+            view.breaker = circuit.failed(view.breaker, now)
+
+    def note_decision(self, asked: call.Call) -> None:
+        """Remember for a while what was decided on a request."""
+        self.decisions[asked.id] = Decision(
+            request=asked.id,
+            workspace=asked.workspace.name if asked.workspace else "",
+            target=asked.target,
+            attempts=tuple(asked.attempts),
+            outcome=asked.outcome,
+            code=asked.code,
+            seconds=self.clock.monotonic() - asked.arrived_at,
+        )
+        while len(self.decisions) > DECISIONS_KEPT:
+            self.decisions.popitem(last=False)
+
+    def upstream(self, name: str) -> model.Upstream | None:
+        """Return an upstream of the configuration."""
+        return self.config.state.upstreams_by_name.get(name)
+
+    def _pump(self, queue: admission.Queue) -> None:
+        while True:
+            entry = queue.head()
+            if entry is None:
+                return
+            asked = entry.item
+            asked.choice = self.choose(asked)
+            if asked.choice is None:
+                return
+            queue.take(entry, self.clock.monotonic())
+            self.reserve(asked)
+            asked.turn.callback(None)
+
+    def _follow(self, state: states.State) -> None:
+        self._workspace_by_digest = {
+            item.key_digest: item.name
+            for item in state.workspaces_by_name.values()
+        }
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/writer.py
@@ -0,0 +1,210 @@
+"""Writes an answer to the caller, in the form that the caller asked for."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from collections.abc import Sequence
+from typing import Any
+
+import orjson
+from reelscale_core import error
+from twisted.internet import defer, interfaces
+from zope.interface import implementer
+
+from . import call, parts
+
+OUTCOME_HEADER = "reelscale-outcome"
+REQUEST_HEADER = "reelscale-request-id"
+EVENT_STREAM = "text/event-stream"
+OK = 200
+
+
+class CallerLeftError(Exception):
+    """The caller has closed its connection."""
+
+
+class BrokenError(Exception):
+    """An answer broke off after it had begun.
+
+    Attributes:
+      code: Why.
+      peer: The upstream.
+    """
+
+    def __init__(self, code: str, peer: str) -> None:
+        super().__init__(code, peer)
+        self.code = code
+        self.peer = peer
+
+
+@implementer(interfaces.IPushProducer)
+class Writer:
+    """Base: keeps step with how fast the caller reads.
+
+    Attributes:
+      begun: Whether anything has gone to the caller.
+      resumable: Whether another attempt can go on where one broke.
+      events: Events of a stream given so far.
+    """
+
+    resumable = False
+
+    def __init__(self, *, asked: call.Call, given: parts.Parts) -> None:
+        self.begun = False
+        self.events = 0
+        self._asked = asked
+        self._http = asked.http
+        self._given = given
+        self._paused: defer.Deferred | None = None
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold back: the caller reads slower than the answer comes."""
+        if self._paused is None:
+            self._paused = defer.Deferred()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on."""
+        paused, self._paused = self._paused, None
+        if paused is not None:
+            paused.callback(None)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Give up: the connection is gone."""
+        self._asked.left = True
+        self.resumeProducing()
+
+    async def drained(self) -> None:
+        """Wait until the caller has room.
+
+        Raises:
+          CallerLeftError: There is no caller any more.
+        """
+        if self._paused is not None:
+            await self._paused
+        if self._asked.left:
+            raise CallerLeftError
+
+    def begin(self, status: int, headers: Sequence[Any]) -> None:
+        """Send status and headers."""
+        self.begun = True
+        self._http.registerProducer(self, True)
+        self._http.setResponseCode(status)
+        for row in headers:
+            self._http.responseHeaders.addRawHeader(row.name, row.value)
+        self._http.setHeader(OUTCOME_HEADER, error.OUTCOME_RAN)
+        self._http.setHeader(REQUEST_HEADER, self._asked.id)
+
+    def write(self, chunks: Sequence[bytes]) -> None:
+        """Send chunks."""
+        self._http.write(b"".join(chunks))
+
+    def finish(self) -> None:
+        """End the answer."""
+        self._http.unregisterProducer()
+        self._http.finish()
+
+
+class Events(Writer):
+    """An event stream, event by event."""
+
+    resumable = True
+
+    def begin(self, status: int, headers: Sequence[Any]) -> None:
+        """Send the head; an error status makes it a plain answer."""
+        self._plain = status != OK
+        super().begin(status, headers)
+
+    def write(self, chunks: Sequence[bytes]) -> None:
+        """Send events."""
+        if self._plain:
+            super().write(chunks)
+            return
+        self.events += len(chunks)
+        self._http.write(b"".join(b"data: %b\n\n" % c for c in chunks))
+
+    def finish(self) -> None:
+        """Send the end event, by which the caller knows it has all."""
+        if not self._plain:
+            self._http.write(b"data: [DONE]\n\n")
+        super().finish()
+
+
+class Whole(Writer):
+    """An event stream gathered into one JSON answer."""
+
+    def __init__(self, *, asked: call.Call, given: parts.Parts) -> None:
+        super().__init__(asked=asked, given=given)
+        self._status = 0
+        self._headers: Sequence[Any] = ()
+        self._events: list[bytes] = []
+
+    @property
+    def resumable(self) -> bool:
+        """Nothing has gone out, so any attempt can go on."""
+        return True
+
+    def begin(self, status: int, headers: Sequence[Any]) -> None:
+        """Keep the head until the answer is whole."""
+        self._status = status
+        self._headers = headers
+
+    def write(self, chunks: Sequence[bytes]) -> None:
+        """Keep chunks until the answer is whole."""
+        self._events += chunks
+        if self._status == OK:
+            self.events += len(chunks)
+
+    def finish(self) -> None:
+        """Send the answer."""
+        body = b"".join(self._events)
+        headers = self._headers
+        if self._status == OK:
+            body = orjson.dumps(gather(self._events))
+            headers = ()
+        super().begin(self._status, headers)
+        if self._status == OK:
+            self._http.setHeader("content-type", "application/json")
+        self._http.setHeader("content-length", str(len(body)))
+        self._http.write(body)
+        super().finish()
+
+
+def make(asked: call.Call, given: parts.Parts) -> Writer:
+    """Return the writer for a request."""
+    if not asked.is_model:
+        return Writer(asked=asked, given=given)
+    if asked.stream:
+        return Events(asked=asked, given=given)
+    return Whole(asked=asked, given=given)
+
+
+def gather(events: Sequence[bytes]) -> dict[str, Any]:
+    """Join the events of a completion into the answer of one piece.
+
+    Args:
+      events: JSON of the chunks, in order, as OpenAI-style engines
+        stream them.
+
+    Returns:
+      A completion object with the text of all chunks.
+    """
+    answer: dict[str, Any] = {}
+    text: list[str] = []
+    choice: dict[str, Any] = {}
+    chat = False
+    for event in events:
+        data = orjson.loads(event)
+        answer.update(data)
+        for part in data.get("choices", ())[:1]:
+            chat = chat or "delta" in part
+            piece = part.get("delta", part)
+            text.append(piece.get("content" if chat else "text") or "")
+            choice = part
+    whole = {"index": 0, "finish_reason": choice.get("finish_reason")}
+    if chat:
+        whole["message"] = {"role": "assistant", "content": "".join(text)}
+        answer["object"] = "chat.completion"
+    else:
+        whole["text"] = "".join(text)
+    answer["choices"] = [whole]
+    return answer
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/main.py
@@ -0,0 +1,81 @@
+"""reelscaled: the command that starts an entry or an agent."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import sys
+from typing import Annotated
+
+import typer
+from reelscale_core import error, settings
+from twisted.internet import defer, reactor
+
+from . import agent, entry, logs
+
+BAD_SETTINGS = 2
+FAILED = 1
+
+app = typer.Typer(
+    help="The reelscale daemon.", no_args_is_help=True, add_completion=False
+)
+SettingsFile = Annotated[
+    str, typer.Option("--settings", help="JSON file with the settings.")
+]
+
+
+@app.command("entry")
+def run_entry(settings_file: SettingsFile) -> None:
+    """Run an entry: between callers and agents."""
+    given = _settings(settings_file, "entry")
+    _run(entry.Entry(reactor=reactor, settings=given))
+
+
+@app.command("agent")
+def run_agent(settings_file: SettingsFile) -> None:
+    """Run an agent: beside one upstream."""
+    given = _settings(settings_file, "agent")
+    _run(agent.Agent(reactor=reactor, settings=given))
+
+
+@app.command("check-settings")
+def check_settings(
+    settings_file: SettingsFile,
+    role: Annotated[str, typer.Option(help="entry or agent.")],
+) -> None:
+    """Check a settings file and report every fault in it."""
+    _settings(settings_file, role)
+    typer.echo("The settings are good.")
+
+
+def run() -> None:
+    """Run the command line."""
+    app()
+
+
+def _settings(path: str, role: str) -> settings.Settings:
+    """Read settings, or print every fault and exit."""
+    try:
+        return settings.read(path, role=role)
+    except error.CodedError as bad:
+        typer.echo(f"{bad.code}: {bad.detail}", err=True)
+        for fault in bad.faults:
+            typer.echo(f"  {fault.path}: expected {fault.expected}", err=True)
+        raise typer.Exit(BAD_SETTINGS) from bad
+
+
+def _run(part: entry.Entry | agent.Agent) -> None:
+    """Run the reactor until the process has stopped in order."""
+    logs.start(as_json=part.settings.log_json)
+    failed = []
+
+    def fail(reason: object) -> None:
+        failed.append(reason)
+        logs.Part("process").error("Cannot start.", reason=reason)
+        reactor.stop()
+
+    def start() -> None:
+        defer.ensureDeferred(part.start()).addErrback(fail)
+
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    sys.exit(FAILED if failed else 0)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -0,0 +1,96 @@
+"""What entry and agent have in common: parts, servers, start and stop."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import signal
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from reelscale_core import clock, settings
+from reelscale_wire import link
+from twisted.internet import defer, endpoints
+from twisted.web import server
+
+from . import logs
+from .adapters import platform
+from .controllers import config
+
+LOG = logs.Part("process")
+
+
+class Base:
+    """The parts that every process has.
+
+    Attributes:
+      settings: What the process was told.
+      clock: The time.
+      incarnation: Tells this start of the process from all others.
+      links: Connections to peers.
+      platform: The platform's log and list of boxes.
+      config: The configuration in force.
+    """
+
+    def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
+        self.reactor = reactor
+        self.settings = settings
+        self.clock = clock.SystemClock()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.links = link.Links(reactor=reactor)
+        self.platform = platform.Platform(
+            reactor=reactor, url=settings.platform
+        )
+        self.config = config.Config(
+            reactor=reactor,
+            clock=self.clock,
+            platform=self.platform,
+            links=self.links,
+            peers=settings.peers,
+            snapshot_every=settings.snapshot_every,
+        )
+        self.stopping = False
+        self._ports: list[Any] = []
+
+    async def listen(self, address: str, factory: Any) -> None:
+        """Serve a factory at "ip:port"."""
+        host, port = address.rsplit(":", 1)
+        point = endpoints.TCP4ServerEndpoint(
+            self.reactor, int(port), interface=host, backlog=512
+        )
+        self._ports.append(await point.listen(factory))
+
+    async def stop_listening(self) -> None:
+        """Take no more connections; those that stand go on."""
+        ports, self._ports = self._ports, []
+        for port in ports:
+            await defer.maybeDeferred(port.stopListening)
+
+    def on_signal(self, stop: Callable[[], Awaitable[None]]) -> None:
+        """Stop in order on SIGTERM or SIGINT; further ones change nothing."""
+
+        def handle(*_: Any) -> None:
+            self.reactor.callFromThread(begin)
+
+        def begin() -> None:
+            if self.stopping:
+                LOG.info("Already stopping; requests in progress go on.")
+                return
+            self.stopping = True
+            LOG.info("Stopping in order.")
+            done = defer.ensureDeferred(stop())
+            done.addBoth(lambda _: self.reactor.stop())
+
+        signal.signal(signal.SIGTERM, handle)
+        signal.signal(signal.SIGINT, handle)
+
+
+def site(root: Any, request_class: Any = None) -> server.Site:
+    """Return an HTTP site without an access log."""
+    made = server.Site(root, timeout=300)
+    made.displayTracebacks = False
+    made.noisy = False
+    made.log = lambda _request: None
+    if request_class is not None:
+        made.requestFactory = request_class
+    return made
--- /dev/null
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -0,0 +1,161 @@
+/**
+ * Messages between reelscale's own processes.
+ *
+ * Copyright 2026 The reelscale maintainers. Licensed under Apache-2.0.
+ *
+ * One framed connection a pair, opened by the caller's side; calls are
+ * multiplexed on it by sequence number.  Every call is safe to repeat.
+ */
+namespace py reelscale_wire.gen
+
+enum VerdictKind {
+  ADMITTED = 1,
+  REFUSED = 2,   // The request was not run and will not be run.
+  UNKNOWN = 3,   // It cannot be told whether the request was run.
+}
+
+struct Header { 1: string name, 2: string value }
+
+struct Submit {
+  1: string attempt,       // Unique: entry, incarnation and counter.
+  2: string workspace,
+  3: string target,        // Name of a service or a group.
+  4: string method,
+  5: string path,
+  6: list<Header> headers,
+  7: binary body,
+  8: i32 resume_from,      // Events that the caller already has.
+  9: i32 deadline_ms,      // What is left of the caller's time.
+  10: i32 priority,        // 0 is the most urgent class.
+  11: string once_key,     // Empty for requests that may be repeated.
+  12: i64 offset,          // Configuration the entry decided on.
+  13: string entry,
+  14: bool stream,         // Whether the answer is an event stream.
+  15: i32 max_events,      // Zero when the caller set no limit.
+}
+
+struct Verdict {
+  1: VerdictKind kind,
+  2: string code,
+  3: string detail,
+  4: i32 retry_after_ms,
+  5: string incarnation,
+}
+
+struct Pull {
+  1: string attempt,
+  2: i32 from_seq,         // All earlier chunks have arrived.
+  3: i32 max_bytes,
+}
+
+struct Batch {
+  1: i32 from_seq,
+  2: list<binary> chunks,
+  3: bool done,
+  4: i32 count,            // With done: number of chunks in the answer.
+  5: string digest,        // With done: digest over all chunks.
+  6: i32 status,
+  7: list<Header> headers,
+  8: string code,          // Empty unless the attempt failed.
+  9: string detail,
+  10: string incarnation,
+  11: VerdictKind ran,     // With a code: whether the upstream ran it.
+  12: string attempt,
+}
+
+struct Cancel { 1: string attempt }
+
+struct Heartbeat {
+  1: string name,
+  2: string incarnation,
+  3: string hall,
+  4: i64 offset,           // Configuration in force at the sender.
+  5: map<string, i32> wanted,  // Slots wanted of each upstream.
+  6: i64 log_age_ms,       // Since the sender last heard from the log.
+  7: string peer,          // Address for calls to the sender.
+}
+
+struct Grant {
+  1: string upstream,
+  2: i32 slots,
+  3: i32 lapse_ms,
+}
+
+struct Pulse {
+  1: string name,
+  2: string incarnation,
+  3: string hall,
+  4: i64 offset,
+  5: Grant grant,
+  6: i32 running,
+  7: i32 queued,
+  8: i32 capacity,
+  9: bool leaving,
+  10: i32 layout,          // Version of the group layout in force.
+  11: double step_ms,
+  12: string model_version,
+  13: bool healthy,
+  14: list<i64> heat,      // Tokens seen by each expert, decayed.
+  15: i64 log_age_ms,
+  16: string peer,
+}
+
+struct StateRequest { 1: i64 have_offset }
+
+struct StateReply {
+  1: i64 offset,
+  2: string digest,
+  3: binary state,         // Empty when the asker is not behind.
+}
+
+struct Order {
+  1: string group,
+  2: i64 fence,            // Offset of the lease record.
+  3: string kind,          // probe, stage, prepare, decide, commit,
+                           // release or adopt.
+  4: i32 version,
+  5: string layout,        // With stage: the layout as JSON.
+  6: i64 step,
+  7: i32 next_version,     // With adopt.
+  8: i64 next_step,        // With adopt.
+}
+
+struct RankState {
+  1: i64 fence,
+  2: i32 version,
+  3: i64 step,
+  4: list<i32> staged,
+  5: i32 next_version,
+  6: i64 next_step,
+  7: bool decided,
+  8: bool committed,
+  9: string incarnation,   // Of the engine: a new one has lost all.
+}
+
+struct OrderReply {
+  1: bool accepted,
+  2: string code,          // Why not.
+  3: optional RankState rank,
+}
+
+struct KeyRequest {
+  1: string target,
+  2: string key,
+  3: i64 offset,           // The asker's configuration.
+}
+
+struct KeyReply {
+  1: bool known,
+  2: bool released,        // The home has moved on to that offset.
+  3: i64 since_ms,         // Wall time from which memory is complete.
+}
+
+service Peer {
+  Pulse heartbeat(1: Heartbeat beat),
+  StateReply state(1: StateRequest request),
+  Verdict submit(1: Submit request),
+  Batch pull(1: Pull request),
+  Verdict cancel(1: Cancel request),
+  OrderReply order(1: Order order),
+  KeyReply key(1: KeyRequest request),
+}
--- /dev/null
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/packages/reelscale-wire/src/reelscale_wire/link.py
@@ -0,0 +1,198 @@
+"""One multiplexed connection to a peer, opened again when it breaks.
+
+Calls fail in one of two ways that a caller must tell apart: the message
+was never written to a socket, or it was and its answer is unknown.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTwisted
+from twisted.internet import defer, endpoints, error, protocol
+from twisted.internet.interfaces import IReactorTime
+
+from .gen import Peer
+
+CONNECT_TIMEOUT_S = 1.0
+CODEC = TCompactProtocol.TCompactProtocolAcceleratedFactory
+
+
+class LinkError(Exception):
+    """A call over a link failed.
+
+    Attributes:
+      peer: Address of the peer.
+      step: Name of the call.
+      written: False if it is proved that the peer cannot have seen it.
+    """
+
+    def __init__(self, *, peer: str, step: str, written: bool) -> None:
+        super().__init__(f"{step} to {peer}, written: {written}")
+        self.peer = peer
+        self.step = step
+        self.written = written
+
+
+class ClientProtocol(TTwisted.ThriftClientProtocol):
+    """The calling side; sends small frames at once."""
+
+    def __init__(self, closed: Any) -> None:
+        """Make a protocol that calls closed() when its connection ends."""
+        super().__init__(Peer.Client, CODEC())
+        self._closed = closed
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the client and send without delay."""
+        self.transport.setTcpNoDelay(True)
+        super().connectionMade()
+
+    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
+        """Fail all calls in progress."""
+        self._closed()
+        super().connectionLost(reason)
+
+
+class ServerProtocol(TTwisted.ThriftServerProtocol):
+    """The answering side; sends small frames at once."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send without delay and keep track of the connection."""
+        self.transport.setTcpNoDelay(True)
+        self.factory.open.add(self)
+        super().connectionMade()
+
+    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
+        """Forget the connection."""
+        self.factory.open.discard(self)
+        super().connectionLost(reason)
+
+    def processOk(self, _: Any, tmo: Any) -> None:  # noqa: N802
+        """Send an answer, unless the connection has gone meanwhile."""
+        if self.connected:
+            super().processOk(_, tmo)
+
+
+class Server(TTwisted.ThriftServerFactory):
+    """Answers peers by way of a handler with the methods of Peer."""
+
+    protocol = ServerProtocol
+
+    def __init__(self, *, handler: Any) -> None:
+        super().__init__(Peer.Processor(handler), CODEC())
+        self.noisy = False
+        self.open: set[ServerProtocol] = set()
+
+
+class Link:
+    """The connection to one peer."""
+
+    def __init__(self, *, reactor: IReactorTime, address: str) -> None:
+        """Make a link to "ip:port"; it connects at the first call."""
+        self.address = address
+        self.cut = False
+        self._reactor = reactor
+        self._client: Any = None
+        self._protocol: ClientProtocol | None = None
+        self._waiting: list[defer.Deferred] = []
+        self._connecting = False
+
+    @property
+    def connected(self) -> bool:
+        """Whether the connection stands."""
+        return self._client is not None
+
+    async def call(
+        self, method: str, argument: Any, *, timeout_s: float
+    ) -> Any:
+        """Call a method of the peer.
+
+        Args:
+          method: Name of a method of the Peer service.
+          argument: Its one argument.
+          timeout_s: Seconds after which the answer counts as lost.
+
+        Raises:
+          LinkError: No answer came; written tells what that means.
+        """
+        if self._client is None:
+            await self._connect(method)
+        try:
+            answer = getattr(self._client, method)(argument)
+            answer.addTimeout(timeout_s, self._reactor)
+            return await answer
+        except Exception as lost:
+            raise LinkError(
+                peer=self.address, step=method, written=True
+            ) from lost
+
+    def set_cut(self, cut: bool) -> None:
+        """Cut the connection, or mend it; for tests of failures."""
+        self.cut = cut
+        if cut:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection; the next call opens another."""
+        if self._protocol is not None and self._protocol.transport:
+            self._protocol.transport.abortConnection()
+
+    async def _connect(self, method: str) -> None:
+        """Join the attempt to connect in progress, or start one."""
+        waiter: defer.Deferred = defer.Deferred()
+        self._waiting.append(waiter)
+        if not self._connecting:
+            self._connecting = True
+            defer.ensureDeferred(self._open())
+        await waiter
+        if self._client is None:
+            raise LinkError(peer=self.address, step=method, written=False)
+
+    async def _open(self) -> None:
+        host, port = self.address.rsplit(":", 1)
+        point = endpoints.TCP4ClientEndpoint(
+            self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        made = ClientProtocol(self._closed)
+        try:
+            if self.cut:
+                raise error.ConnectionRefusedError()
+            await endpoints.connectProtocol(point, made)
+            self._protocol = made
+            self._client = made.client
+        except Exception:
+            self._client = None
+        self._connecting = False
+        waiting, self._waiting = self._waiting, []
+        for waiter in waiting:
+            waiter.callback(None)
+
+    def _closed(self) -> None:
+        self._client = None
+        self._protocol = None
+
+
+class Links:
+    """The links of one process, by address."""
+
+    def __init__(self, *, reactor: IReactorTime) -> None:
+        self._reactor = reactor
+        self.by_address: dict[str, Link] = {}
+        self._cut: set[str] = set()
+
+    def to(self, address: str) -> Link:
+        """Return the link to an address, made when first asked for."""
+        link = self.by_address.get(address)
+        if link is None:
+            link = Link(reactor=self._reactor, address=address)
+            link.cut = address in self._cut
+            self.by_address[address] = link
+        return link
+
+    def cut(self, addresses: set[str]) -> None:
+        """Cut the links to these addresses and mend all others."""
+        self._cut = set(addresses)
+        for address, link in self.by_address.items():
+            link.set_cut(address in addresses)
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,538 @@
+"""Starts reelscale and its stand-ins as separate processes on loopback.
+
+Used by the demo, the tests and the benches.  Ports are taken from the
+system.  A cluster has halls "a" and "b"; each hall has entries, engine
+boxes of one group "m1" and boxes of a plain service "codes".
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from typing import Any
+
+import httpx
+from reelscale_core import model
+
+OPERATOR_KEY = "operator-key-for-tests"
+WORKSPACE_KEYS = {"acme": "key-of-acme", "bolt": "key-of-bolt"}
+START_S = 20.0
+POLL_S = 0.02
+BIN = pathlib.Path(sys.executable).parent
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that the system says is free."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(test: Callable[[], Any], what: str, seconds: float = 15.0) -> Any:
+    """Wait until a test gives something true.
+
+    Raises:
+      TimeoutError: It did not in time; names what was waited for.
+    """
+    end = time.monotonic() + seconds
+    while True:
+        found = test()
+        if found:
+            return found
+        if time.monotonic() > end:
+            raise TimeoutError(f"waited {seconds} s for {what}")
+        time.sleep(POLL_S)
+
+
+class Process:
+    """One process of the cluster."""
+
+    def __init__(
+        self, name: str, command: list[str], log: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.command = command
+        self.log = log
+        self.popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it, adding to its log."""
+        with self.log.open("ab") as out:
+            self.popen = subprocess.Popen(
+                self.command,
+                stdout=out,
+                stderr=out,
+                cwd=ROOT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if it runs."""
+        if self.running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill it at once, with nothing put in order."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop it in its tracks."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self, seconds: float = 20.0) -> int:
+        """Ask it to stop in order; return its exit status."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(seconds)
+
+    @property
+    def running(self) -> bool:
+        """Whether it runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+
+class Cluster:
+    """All processes, their addresses and a client for each side."""
+
+    def __init__(self, **options: Any) -> None:
+        """Lay a cluster out; nothing starts yet.
+
+        Args:
+          options: "entries", "engines" and "services" a hall; "slots",
+            "step_s", "checks_fence", "lease_s", "settings" for all
+            reelscaled processes, "experts", "skew_weight".
+        """
+        self.options = {
+            "halls": ("a", "b"),
+            "entries": 1,
+            "engines": 1,
+            "services": 1,
+            "slots": 16,
+            "step_s": 0.01,
+            "checks_fence": True,
+            "lease_s": 2,
+            "experts": 8,
+            "skew_weight": 0.9,
+            "settings": {},
+            **options,
+        }
+        self.dir = pathlib.Path(tempfile.mkdtemp(prefix="reelscale-"))
+        self.processes: dict[str, Process] = {}
+        self.http: dict[str, str] = {}
+        self.peer: dict[str, str] = {}
+        self.upstream_http: dict[str, str] = {}
+        self.platform_url = ""
+        self.client = httpx.Client(timeout=30)
+        self._lay_out()
+
+    def __enter__(self) -> "Cluster":
+        """Start everything and bring the first configuration into force."""
+        try:
+            self.start()
+            self.configure()
+        except BaseException:
+            self.print_logs()
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        """End everything."""
+        self.close()
+
+    # Layout.
+
+    def _lay_out(self) -> None:
+        port = free_port()
+        self.platform_url = f"http://127.0.0.1:{port}"
+        self._stand_in("platform", "platform", {"port": port})
+        self.entries = self._names("entries", "e")
+        self.engines = self._names("engines", "m")
+        self.services = self._names("services", "s")
+        udp = {name: free_port(socket.SOCK_DGRAM) for name, _ in self.engines}
+        for name, hall in self.engines:
+            self._engine(name, udp)
+            self._agent(name, hall, "engine")
+        for name, hall in self.services:
+            self._service(name)
+            self._agent(name, hall, "service")
+        for name, hall in self.entries:
+            self._entry(name, hall)
+
+    def _names(self, kind: str, letter: str) -> list[tuple[str, str]]:
+        count = self.options[kind]
+        return [
+            (f"{letter}{number + 1}{hall}", hall)
+            for hall in self.options["halls"]
+            for number in range(count)
+        ]
+
+    def _engine(self, name: str, udp: dict[str, int]) -> None:
+        port = free_port()
+        self.upstream_http[name] = f"http://127.0.0.1:{port}"
+        others = {other: at for other, at in udp.items() if other != name}
+        keys = ("slots", "step_s", "experts", "checks_fence")
+        data = {key: self.options[key] for key in keys}
+        data |= {"name": name, "port": port, "udp": udp[name]}
+        data |= {"others": others, "slots_per_rank": self.per_rank}
+        self._stand_in(f"engine-{name}", "engine", data)
+
+    @property
+    def per_rank(self) -> int:
+        """Return the slots of a rank: half as many again as needed."""
+        ranks = len(self.engines)
+        return -(-self.options["experts"] * 3 // (2 * ranks))
+
+    def _service(self, name: str) -> None:
+        port = free_port()
+        self.upstream_http[name] = f"http://127.0.0.1:{port}"
+        data = {"name": name, "port": port, "slots": self.options["slots"]}
+        self._stand_in(f"service-{name}", "service", data)
+
+    def _agent(self, name: str, hall: str, kind: str) -> None:
+        data = self._common(name, hall)
+        data |= {
+            "engine": self.upstream_http[name],
+            "kind": kind,
+            "slots": self.options["slots"],
+            "checks_fence": self.options["checks_fence"],
+            "lease_s": self.options["lease_s"],
+        }
+        self._daemon("agent", name, data)
+
+    def _entry(self, name: str, hall: str) -> None:
+        data = self._common(name, hall)
+        digest = model.digest_of_key(OPERATOR_KEY)
+        data |= {
+            "operators": [{"name": "ops", "key_digest": digest}],
+            "stop_wait_s": 0.2,
+        }
+        self._daemon("entry", name, data)
+
+    def _common(self, name: str, hall: str) -> dict[str, Any]:
+        self.http[name] = f"http://127.0.0.1:{free_port()}"
+        self.peer[name] = f"127.0.0.1:{free_port()}"
+        return {
+            "name": name,
+            "hall": hall,
+            "http": self.http[name].removeprefix("http://"),
+            "peer": self.peer[name],
+            "platform": self.platform_url,
+            "test_controls": True,
+        }
+
+    def _daemon(self, role: str, name: str, data: dict[str, Any]) -> None:
+        extra = self.options["settings"]
+        data |= {k: v for k, v in extra.items() if k in _settings_of(role)}
+        command = [str(BIN / "reelscaled"), role]
+        self._add(name, command, data)
+
+    def _stand_in(self, name: str, module: str, data: dict[str, Any]) -> None:
+        command = [sys.executable, "-m", f"standins.{module}"]
+        self._add(name, command, data)
+
+    def _add(self, name: str, command: list[str], data: dict) -> None:
+        path = self.dir / f"{name}.json"
+        path.write_text(json.dumps(data))
+        log = self.dir / f"{name}.log"
+        command = [*command, "--settings", str(path)]
+        self.processes[name] = Process(name, command, log)
+
+    # Life.
+
+    def start(self) -> None:
+        """Start every process and wait until each answers."""
+        for process in self.processes.values():
+            process.start()
+        self.set_boxes()
+        for name in self.http:
+            wait_for(lambda name=name: self._live(name), name, START_S)
+
+    def set_boxes(self, leaving: tuple[str, ...] = ()) -> None:
+        """Tell the platform's list which boxes there are."""
+        rows = []
+        for role, names in (
+            ("entry", self.entries),
+            ("upstream", [*self.engines, *self.services]),
+        ):
+            for name, hall in names:
+                rows.append(
+                    {
+                        "name": name,
+                        "role": role,
+                        "hall": hall,
+                        "peer": self.peer[name],
+                        "leaving": name in leaving,
+                    }
+                )
+        wait_for(lambda: self._control(boxes=rows), "the platform", START_S)
+
+    def _control(self, **faults: Any) -> bool:
+        try:
+            self.platform(**faults)
+        except httpx.HTTPError:
+            return False
+        return True
+
+    def platform(self, **faults: Any) -> dict[str, Any]:
+        """Set faults of the platform; return how its log is."""
+        url = f"{self.platform_url}/control"
+        return self.client.post(url, json=faults).json()
+
+    def _live(self, name: str) -> bool:
+        try:
+            return self.client.get(f"{self.http[name]}/livez").is_success
+        except httpx.HTTPError:
+            return False
+
+    def ready(self, name: str) -> bool:
+        """Tell whether a process says that it is ready."""
+        try:
+            return self.client.get(f"{self.http[name]}/readyz").is_success
+        except httpx.HTTPError:
+            return False
+
+    def close(self) -> None:
+        """Kill every process that still runs."""
+        for process in self.processes.values():
+            process.thaw()
+            if process.running:
+                process.kill()
+        self.client.close()
+
+    def print_logs(self) -> None:
+        """Print the end of every log, to find out what went wrong."""
+        for process in self.processes.values():
+            if process.log.exists():
+                text = process.log.read_text()[-2000:]
+                print(f"--- {process.name}\n{text}", file=sys.stderr)
+
+    # Configuration.
+
+    def first_intent(self) -> dict[str, Any]:
+        """Return the intent that creates everything."""
+        ranks = len(self.engines)
+        changes: list[dict[str, Any]] = []
+        if ranks:
+            changes.append(
+                {
+                    "kind": "put-group",
+                    "name": "m1",
+                    "ranks": ranks,
+                    "experts": self.options["experts"],
+                    "slots_per_rank": self.per_rank,
+                    "skew_weight": self.options["skew_weight"],
+                }
+            )
+        if self.services:
+            service = {"name": "codes", "once_paths": ["/send"]}
+            changes.append({"kind": "put-service", **service})
+        for rank, (name, hall) in enumerate(self.engines):
+            row = self._upstream(name, "m1", hall)
+            changes.append({**row, "first_rank": rank, "ranks": 1})
+        for name, hall in self.services:
+            changes.append(self._upstream(name, "codes", hall))
+        targets = (["m1"] if ranks else []) + (
+            ["codes"] if self.services else []
+        )
+        for name, key in WORKSPACE_KEYS.items():
+            row = {"name": name, "key": key, "targets": targets}
+            changes.append(
+                {"kind": "put-workspace", "max_running": 4096, **row}
+            )
+        return {"changes": changes}
+
+    def _upstream(self, name: str, target: str, hall: str) -> dict[str, Any]:
+        return {
+            "kind": "put-upstream",
+            "name": name,
+            "target": target,
+            "hall": hall,
+            "agent": self.peer[name],
+        }
+
+    def configure(self) -> None:
+        """Bring the first configuration into force everywhere."""
+        entry = self.entries[0][0]
+        wait_for(lambda: self.ready(entry), f"{entry} to be ready")
+        offset = self.change(self.first_intent()["changes"])
+        self.wait_in_force(offset)
+        self.wait_serving()
+
+    def operator(self, entry: str | None = None) -> httpx.Client:
+        """Return an operator's client of an entry."""
+        name = entry or self.entries[0][0]
+        headers = {"authorization": f"Bearer {OPERATOR_KEY}"}
+        url = f"{self.http[name]}/operator"
+        return httpx.Client(base_url=url, headers=headers, timeout=20)
+
+    def plan(self, changes: list[dict], entry: str | None = None) -> Any:
+        """Make a plan; return the HTTP answer."""
+        with self.operator(entry) as operator:
+            return operator.post("/plans", json={"changes": changes})
+
+    def confirm(self, plan_id: str, entry: str | None = None) -> Any:
+        """Confirm a plan; return the HTTP answer."""
+        with self.operator(entry) as operator:
+            return operator.post(f"/plans/{plan_id}/confirm")
+
+    def change(self, changes: list[dict], entry: str | None = None) -> int:
+        """Plan and confirm; return the offset of acceptance."""
+        plan = self.plan(changes, entry)
+        plan.raise_for_status()
+        confirmed = self.confirm(plan.json()["id"], entry)
+        confirmed.raise_for_status()
+        return confirmed.json()["offset"]
+
+    def status(self, entry: str | None = None) -> dict[str, Any]:
+        """Return an entry's view of everything."""
+        with self.operator(entry) as operator:
+            return operator.get("/status").raise_for_status().json()
+
+    def offsets(self) -> dict[str, int]:
+        """Return the offset that each process says is in force."""
+        found = {}
+        for name in self.http:
+            if self.processes[name].running:
+                found[name] = self.offset(name)
+        return found
+
+    def offset(self, name: str) -> int:
+        """Return the offset that is in force at a process."""
+        text = self.client.get(f"{self.http[name]}/metrics").text
+        for line in text.splitlines():
+            if line.startswith("reelscale_config_offset"):
+                return int(float(line.split()[-1]))
+        return -1
+
+    def wait_in_force(self, offset: int, seconds: float = 15.0) -> float:
+        """Wait until an offset is in force at all; return the seconds."""
+        start = time.monotonic()
+        wait_for(
+            lambda: min(self.offsets().values()) >= offset,
+            f"offset {offset} everywhere",
+            seconds,
+        )
+        return time.monotonic() - start
+
+    def layouts(self) -> dict[str, int]:
+        """Return the layout version in force at each engine."""
+        return {
+            name: self.client.get(f"{self.upstream_http[name]}/rank").json()[
+                "version"
+            ]
+            for name, _ in self.engines
+        }
+
+    def wait_layout(self, version: int, seconds: float = 20.0) -> None:
+        """Wait until all engines are on a layout."""
+        wait_for(
+            lambda: set(self.layouts().values()) == {version},
+            f"layout {version} at all engines",
+            seconds,
+        )
+
+    def wait_serving(self) -> None:
+        """Wait until every entry can serve every target."""
+        if self.engines:
+            self.wait_layout(1)
+        for entry, _ in self.entries:
+            if self.engines:
+                wait_for(
+                    lambda entry=entry: self.complete(entry).is_success,
+                    f"{entry} to serve the model",
+                )
+            if self.services:
+                wait_for(
+                    lambda entry=entry: self.call(entry, "/ping").is_success,
+                    f"{entry} to serve the service",
+                )
+
+    # Callers.
+
+    def headers(self, workspace: str = "acme", **more: str) -> dict[str, str]:
+        """Return a caller's headers."""
+        key = WORKSPACE_KEYS[workspace]
+        extra = {k.replace("_", "-"): v for k, v in more.items()}
+        return {"authorization": f"Bearer {key}", **extra}
+
+    def complete(
+        self,
+        entry: str,
+        prompt: str = "hello",
+        tokens: int = 4,
+        **headers: str,
+    ) -> httpx.Response:
+        """Ask for a completion in one piece."""
+        data = {"model": "m1", "prompt": prompt, "max_tokens": tokens}
+        return self.client.post(
+            f"{self.http[entry]}/v1/completions",
+            json=data,
+            headers=self.headers(**headers),
+        )
+
+    def call(
+        self,
+        entry: str,
+        path: str,
+        method: str = "GET",
+        body: str = "",
+        **headers: str,
+    ) -> httpx.Response:
+        """Call the plain service."""
+        return self.client.request(
+            method,
+            f"{self.http[entry]}/services/codes{path}",
+            content=body.encode(),
+            headers=self.headers(**headers),
+        )
+
+    def ledger(self) -> list[dict[str, Any]]:
+        """Return all runs of all boxes of the plain service."""
+        runs = []
+        for name, _ in self.services:
+            if self.processes[f"service-{name}"].running:
+                url = f"{self.upstream_http[name]}/ledger"
+                runs += self.client.get(url).json()
+        return runs
+
+    def mixed_steps(self) -> list[int]:
+        """Return the steps that ran on more than one layout."""
+        versions: dict[int, set[int]] = {}
+        for name, _ in self.engines:
+            if not self.processes[f"engine-{name}"].running:
+                continue
+            url = f"{self.upstream_http[name]}/ledger"
+            for step, version in self.client.get(url).json()["steps"]:
+                versions.setdefault(step, set()).add(version)
+        return [step for step, seen in versions.items() if len(seen) > 1]
+
+    def cut(self, name: str, peers: list[str], platform: bool = False) -> None:
+        """Cut a process off from the named peers and the platform."""
+        data = {
+            "peers": [self.peer[peer] for peer in peers],
+            "platform": platform,
+        }
+        self.client.post(f"{self.http[name]}/test/cut", json=data)
+
+
+def _settings_of(role: str) -> set[str]:
+    """Return the settings that the tests may set for a role."""
+    both = {"heartbeat_s", "buffer_bytes", "snapshot_every", "log_json"}
+    if role == "agent":
+        return both | {"lease_s"}
+    return both | {"queue", "deadline_s", "subset", "body_bytes"}
