Replay generated traces of four promises; mend three faults they found

Cause: the promises rest on pure decisions that nothing had tried to break. (1) A holder went on with what it had heard of the other ranks before one of them lost everything, and had it rejoin at a step long past. (2) A rank that rejoined reported the step before the one it joined at, so that further losses walked the group's step number backwards. Thinking the trace through showed a third: orders of one holder could overtake each other, so a late release could undo a promise.

Ruled out: the order in which orders went out depended on the hash seed of strings; made sorted first, after which the same seeds still failed, so it was no cause of the mixed steps.

Change: orders carry the holder's round after its fence, and a rank refuses older ones; a newly seen loss makes the holder ask all others again; a rank keeps the step it joined at as a floor. Keys: the protocol between homes moved into the core (start, resolve).

Keys without a time stamp hold only within the time of the memory (900 s): with later copies the model finds a double run, so that is not promised.

--- a/packages/reelscale-core/src/reelscale_core/fold.py
+++ b/packages/reelscale-core/src/reelscale_core/fold.py
@@ -19,7 +19,7 @@
 PLAN_LIFE = 20_000
 PRUNE_EVERY = 256
 # Memberships of a target that are remembered for keys that moved.
-MEMBERSHIPS_KEPT = 16
+MEMBERSHIPS_KEPT = 64
 # Layouts before the newest that ranks may still be on.
 LAYOUTS_KEPT = 3
 
--- a/packages/reelscale-core/src/reelscale_core/once.py
+++ b/packages/reelscale-core/src/reelscale_core/once.py
@@ -162,36 +162,68 @@
             return refusal
         return self._earlier(key, made, memberships, replies, wall)
 
-    def take(self, key: str, attempt: str, wall: float) -> None:
-        """Remember a key; it must be judged Run or be about to ask."""
-        self._entries[key] = Entry(attempt, wall)
-
-    def give_back(self, key: str, attempt: str) -> None:
-        """Forget a key that is proved not to have run."""
-        entry = self._entries.get(key)
-        if entry is not None and entry.attempt == attempt:
-            del self._entries[key]
+    def start(
+        self,
+        key: str,
+        attempt: str,
+        *,
+        memberships: tuple[Membership, ...],
+        wall: float,
+    ) -> Judgement:
+        """Judge a key that arrived; on Run or Ask it is now taken.
 
-    def answer(
+        It is taken before anybody is asked, so that a copy of the request
+        that arrives meanwhile is a repeat.
+        """
+        judged = self.judge(
+            key, memberships=memberships, replies={}, wall=wall
+        )
+        if isinstance(judged, Run | Ask):
+            self._entries[key] = Entry(attempt, wall)
+        return judged
+
+    def resolve(
         self,
         key: str,
+        attempt: str,
         *,
         memberships: tuple[Membership, ...],
-        offset: int,
-        asker_offset: int,
-    ) -> Reply:
+        replies: Mapping[str, Reply],
+        wall: float,
+    ) -> Judgement:
+        """Judge a key again, once earlier homes have been asked.
+
+        Returns:
+          Run, or a refusal; then the key is taken no longer.
+        """
+        if not self.give_back(key, attempt):
+            return Refuse("memory-lost", not_run=True)
+        judged = self.judge(
+            key, memberships=memberships, replies=replies, wall=wall
+        )
+        if isinstance(judged, Ask):
+            return Refuse("home-moving", not_run=True)
+        if isinstance(judged, Run):
+            self._entries[key] = Entry(attempt, wall)
+        return judged
+
+    def give_back(self, key: str, attempt: str) -> bool:
+        """Forget a key that is proved not to have run; False if gone."""
+        entry = self._entries.get(key)
+        if entry is None or entry.attempt != attempt:
+            return False
+        del self._entries[key]
+        return True
+
+    def answer(self, key: str, *, offset: int, asker_offset: int) -> Reply:
         """Answer a later home that asks about a key.
 
         Args:
           key: The key, or empty to ask about all that moved.
-          memberships: Who serves the target as folded here.
           offset: Offset folded here.
           asker_offset: Offset of the membership that the asker is in.
         """
-        now = memberships[-1].members if memberships else ()
         released = offset >= asker_offset
-        if key and home(key, now) == self.name:
-            released = False
         return Reply(key in self._entries, released, self.since)
 
     def clear(self, offset: int, home_name: str, wall: float) -> None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/keys.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/keys.py
@@ -58,17 +58,16 @@
 
     async def judge(self, request: ttypes.Submit) -> once.Judgement:
         """Decide on a key; Run means that it is now remembered."""
-        key = request.once_key
-        replies: dict[str, once.Reply] = {}
-        first = self._judge(request, replies)
-        if not isinstance(first, once.Run | once.Ask):
-            return first
-        # The key is taken before anybody is asked, so that two homes that
-        # ask each other both see it taken and neither runs it.
-        self.table.take(key, request.attempt, self._clock.wall())
-        if isinstance(first, once.Run):
+        key, attempt = request.once_key, request.attempt
+        first = self.table.start(
+            key,
+            attempt,
+            memberships=self._memberships(request.target),
+            wall=self._clock.wall(),
+        )
+        if not isinstance(first, once.Ask):
             return first
-        rows = await defer.gatherResults(
+        replies = await defer.gatherResults(
             [
                 defer.ensureDeferred(
                     self._ask(home, request.target, key, first.offset)
@@ -76,23 +75,19 @@
                 for home in first.homes
             ]
         )
-        replies.update(zip(first.homes, rows, strict=True))
-        self.table.give_back(key, request.attempt)
-        last = self._judge(request, replies)
-        if isinstance(last, once.Run):
-            self.table.take(key, request.attempt, self._clock.wall())
-        if isinstance(last, once.Ask):
-            return once.Refuse("home-moving", not_run=True)
-        return last
+        return self.table.resolve(
+            key,
+            attempt,
+            memberships=self._memberships(request.target),
+            replies=dict(zip(first.homes, replies, strict=True)),
+            wall=self._clock.wall(),
+        )
 
     def answer(self, request: ttypes.KeyRequest) -> ttypes.KeyReply:
         """Answer a later home that asks about a key."""
-        state = self._config.state
-        rows = state.members_by_target.get(request.target, ())
         reply = self.table.answer(
             request.key,
-            memberships=rows,
-            offset=state.offset,
+            offset=self._config.state.offset,
             asker_offset=request.offset,
         )
         return ttypes.KeyReply(
@@ -113,16 +108,8 @@
         if not stream.code and len(body) <= KEPT_ANSWER_BYTES and stream.head:
             self.kept_by_key[request.once_key] = Kept(stream.head, body)
 
-    def _judge(
-        self, request: ttypes.Submit, replies: dict[str, once.Reply]
-    ) -> once.Judgement:
-        rows = self._config.state.members_by_target.get(request.target, ())
-        return self.table.judge(
-            request.once_key,
-            memberships=rows,
-            replies=replies,
-            wall=self._clock.wall(),
-        )
+    def _memberships(self, target: str) -> tuple[states.Membership, ...]:
+        return self._config.state.members_by_target.get(target, ())
 
     async def _ask(
         self, home: str, target: str, key: str, offset: int
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
@@ -169,7 +169,9 @@
         """Give orders, round after round, until all is as configured."""
         ranks: dict[str, schedule.Rank] = {}
         said = ""
+        seq = 0
         while not self._stopped:
+            seq += 1
             group = self._config.state.groups_by_name.get(name)
             if group is None or not await self._claim(group):
                 return
@@ -177,7 +179,7 @@
             members = frozenset(self._members(group))
             wanted = group.layout.version
             plan = schedule.plan_round(
-                ranks, members, wanted=wanted, fence=held.fence
+                ranks, members, wanted=wanted, fence=held.fence, seq=seq
             )
             if plan.done:
                 LOG.info(
@@ -196,7 +198,7 @@
         plan: schedule.Round,
         ranks: dict[str, schedule.Rank],
     ) -> dict[str, schedule.Rank]:
-        """Send one round of orders; a rank that is silent is asked anew."""
+        """Send one round of orders and take in what is answered."""
         names = sorted(plan.orders)
         replies = await defer.gatherResults(
             [
@@ -206,13 +208,7 @@
                 for name in names
             ]
         )
-        ranks = dict(ranks)
-        for name, rank in zip(names, replies, strict=True):
-            if rank is None:
-                ranks.pop(name, None)
-            else:
-                ranks[name] = rank
-        return ranks
+        return schedule.note(ranks, dict(zip(names, replies, strict=True)))
 
     async def _send(
         self, group: model.Group, name: str, order: schedule.Order
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/orders.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/orders.py
@@ -33,6 +33,7 @@
         lease_s: float,
     ) -> None:
         self.fence = 0
+        self.seq = 0
         self._clock = clock
         self._config = config
         self._engine = engine
@@ -59,7 +60,7 @@
                 highest=self.fence,
             )
             return ttypes.OrderReply(accepted=False, code=code)
-        self.fence = message.fence
+        self.fence, self.seq = message.fence, message.seq
         order, layout = from_wire(message)
         try:
             rank, accepted = await self._engine.order(order, layout)
@@ -76,6 +77,8 @@
         highest = max(self.fence, held.offset if held else 0)
         if message.fence < highest:
             return "old-fence"
+        if message.fence == self.fence and message.seq < self.seq:
+            return "old-order"
         if not self._config.ready:
             return "not-ready"
         if self._blank():
@@ -102,6 +105,7 @@
     return ttypes.Order(
         group=group,
         fence=data["fence"],
+        seq=data["seq"],
         kind=type(order).__name__.lower(),
         version=data.get("version", 0),
         layout=layout_json,
@@ -115,23 +119,26 @@
     message: ttypes.Order,
 ) -> tuple[schedule.Order, model.Layout | None]:
     """Turn a message into an order and, with stage, its layout."""
-    fence, version, step = message.fence, message.version, message.step
+    stamp = (message.fence, message.seq)
+    version, step = message.version, message.step
     match message.kind:
         case "probe":
-            return schedule.Probe(fence), None
+            return schedule.Probe(*stamp), None
         case "stage":
-            return schedule.Stage(fence, version), parse_layout(message.layout)
+            return schedule.Stage(*stamp, version), parse_layout(
+                message.layout
+            )
         case "prepare":
-            return schedule.Prepare(fence, version, step), None
+            return schedule.Prepare(*stamp, version, step), None
         case "decide":
-            return schedule.Decide(fence, version, step), None
+            return schedule.Decide(*stamp, version, step), None
         case "commit":
-            return schedule.Commit(fence, version, step), None
+            return schedule.Commit(*stamp, version, step), None
         case "release":
-            return schedule.Release(fence), None
+            return schedule.Release(*stamp), None
         case "adopt":
             order = schedule.Adopt(
-                fence, version, step, message.next_version, message.next_step
+                *stamp, version, step, message.next_version, message.next_step
             )
             return order, None
         case other:
@@ -154,6 +161,8 @@
     """Turn a message into what a rank holds."""
     return schedule.Rank(
         fence=message.fence,
+        seq=message.seq,
+        floor=message.floor,
         version=message.version,
         step=message.step,
         staged=frozenset(message.staged),
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -118,6 +118,7 @@
   6: i64 step,
   7: i32 next_version,     // With adopt.
   8: i64 next_step,        // With adopt.
+  9: i64 seq,              // Round of the holder.
 }
 
 struct RankState {
@@ -130,6 +131,8 @@
   7: bool decided,
   8: bool committed,
   9: string incarnation,   // Of the engine: a new one has lost all.
+  10: i64 seq,
+  11: i64 floor,           // The step it joined at.
 }
 
 struct OrderReply {
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -1344,11 +1344,12 @@
      - step
      - next_version
      - next_step
+     - seq
 
     """
 
 
-    def __init__(self, group=None, fence=None, kind=None, version=None, layout=None, step=None, next_version=None, next_step=None,):
+    def __init__(self, group=None, fence=None, kind=None, version=None, layout=None, step=None, next_version=None, next_step=None, seq=None,):
         self.group = group
         self.fence = fence
         self.kind = kind
@@ -1357,6 +1358,7 @@
         self.step = step
         self.next_version = next_version
         self.next_step = next_step
+        self.seq = seq
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1407,6 +1409,11 @@
                     self.next_step = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.seq = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1449,6 +1456,10 @@
             oprot.writeFieldBegin('next_step', TType.I64, 8)
             oprot.writeI64(self.next_step)
             oprot.writeFieldEnd()
+        if self.seq is not None:
+            oprot.writeFieldBegin('seq', TType.I64, 9)
+            oprot.writeI64(self.seq)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1479,11 +1490,13 @@
      - decided
      - committed
      - incarnation
+     - seq
+     - floor
 
     """
 
 
-    def __init__(self, fence=None, version=None, step=None, staged=None, next_version=None, next_step=None, decided=None, committed=None, incarnation=None,):
+    def __init__(self, fence=None, version=None, step=None, staged=None, next_version=None, next_step=None, decided=None, committed=None, incarnation=None, seq=None, floor=None,):
         self.fence = fence
         self.version = version
         self.step = step
@@ -1493,6 +1506,8 @@
         self.decided = decided
         self.committed = committed
         self.incarnation = incarnation
+        self.seq = seq
+        self.floor = floor
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1553,6 +1568,16 @@
                     self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.seq = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.floor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1602,6 +1627,14 @@
             oprot.writeFieldBegin('incarnation', TType.STRING, 9)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.seq is not None:
+            oprot.writeFieldBegin('seq', TType.I64, 10)
+            oprot.writeI64(self.seq)
+            oprot.writeFieldEnd()
+        if self.floor is not None:
+            oprot.writeFieldBegin('floor', TType.I64, 11)
+            oprot.writeI64(self.floor)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1979,6 +2012,7 @@
     (6, TType.I64, 'step', None, None, ),  # 6
     (7, TType.I32, 'next_version', None, None, ),  # 7
     (8, TType.I64, 'next_step', None, None, ),  # 8
+    (9, TType.I64, 'seq', None, None, ),  # 9
 )
 all_structs.append(RankState)
 RankState.thrift_spec = (
@@ -1992,6 +2026,8 @@
     (7, TType.BOOL, 'decided', None, None, ),  # 7
     (8, TType.BOOL, 'committed', None, None, ),  # 8
     (9, TType.STRING, 'incarnation', 'UTF8', None, ),  # 9
+    (10, TType.I64, 'seq', None, None, ),  # 10
+    (11, TType.I64, 'floor', None, None, ),  # 11
 )
 all_structs.append(OrderReply)
 OrderReply.thrift_spec = (
