Let a retried request wait for a slot, and score placement

Change: any attempt worth making waits in the queue for its slot; only the outcome told on a refusal differs.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each prints a short table and returns JSON data."""
--- a/packages/reelscale-core/src/reelscale_core/placement.py
+++ b/packages/reelscale-core/src/reelscale_core/placement.py
@@ -235,18 +235,33 @@
             yield from self._swaps(top, other)
 
     def _swaps(self, top: int, other: int) -> Iterator[_Step]:
-        here = self._held(top)
-        there = self._held(other)
-        for first in here:
-            mine = self.slots[first]
-            for second in there:
-                theirs = self.slots[second]
-                if self._share(mine) <= self._share(theirs):
+        """Yield the best swap of two slots between two ranks, if any."""
+        gap = self.loads[top] - self.loads[other]
+        mine = self._movable(top, other)
+        theirs = self._movable(other, top)
+        best = None
+        for first, load in mine:
+            for second, less in theirs:
+                moved = load - less
+                if not 0 < moved < gap:
                     continue
-                if self._clash(top, theirs) or self._clash(other, mine):
-                    continue
-                step = _Step(0.0, 2, first, theirs, second, mine)
-                yield self._scored(step)
+                # Of squares: a2 + b2 - (a - m)2 - (b + m)2.
+                gain = 2 * moved * (gap - moved)
+                if best is None or gain > best[0]:
+                    best = (gain, first, second)
+        if best is not None:
+            gain, first, second = best
+            experts = self.slots[second], self.slots[first]
+            yield _Step(gain, 2, first, experts[0], second, experts[1])
+
+    def _movable(self, rank: int, to: int) -> list[tuple[int, float]]:
+        """Return slots whose expert the other rank lacks, with its load."""
+        there = {self.slots[slot] for slot in self._held(to)}
+        return [
+            (slot, self._share(self.slots[slot]))
+            for slot in self._held(rank)
+            if self.slots[slot] not in there
+        ]
 
     def _clash(self, rank: int, expert: int) -> bool:
         return any(
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -113,31 +113,28 @@
     asked.choice = given.choose(asked)
     if asked.choice is not None:
         given.reserve(asked)
-    elif resumes:
-        await _wait_to_resume(asked, given, out, lost)
-    elif ran:
-        raise _failure(asked, given, out, lost, ran)
     else:
-        # Nothing has run, so the request may as well wait for a slot.
-        await admit.admit(asked, given)
+        await _wait_again(asked, given, out, lost, ran)
 
 
-async def _wait_to_resume(
+async def _wait_again(
     asked: call.Call,
     given: parts.Parts,
     out: writer.Writer,
     lost: AttemptLostError,
+    ran: bool,
 ) -> None:
-    """Wait for a slot to go on with a stream, ahead of new requests."""
-    asked.priority = 0
-    asked.deadline = given.clock.monotonic() + RESUME_WAIT_S
+    """Wait for a slot once more; a stream goes ahead of new requests."""
+    if out.events:
+        asked.priority = 0
+        asked.deadline = given.clock.monotonic() + RESUME_WAIT_S
     try:
         await admit.admit(asked, given)
     except error.CodedError as refused:
         if out.begun:
             raise writer.BrokenError(refused.code, lost.peer) from refused
-        # Part of the answer has been made, so the request has run.
-        refused.outcome = error.OUTCOME_UNKNOWN
+        if ran:
+            refused.outcome = error.OUTCOME_UNKNOWN
         raise
 
 
