--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
 """Works out docs/CAPACITY.md's figures from measured slopes.
 
-Reads the JSON that bench.run wrote and prints the page's tables.
+Reads the JSON that bench.run wrote and writes the page's table.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -11,6 +11,9 @@
 import sys
 from typing import Any, NamedTuple
 
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+BEGIN = "<!-- table -->"
+END = "<!-- end -->"
 RESULTS = pathlib.Path(__file__).parent / "results.json"
 
 
@@ -35,6 +38,7 @@
 # targets that they ask for, within the five seconds of warmth.
 WARM = 24
 PEER_ENTRIES = 8
+PEERS_S = 5.0
 ONCE_SHARE = 0.2
 KEY_S = 900
 TOMBSTONE_S = 600
@@ -52,13 +56,16 @@
     """Return (role and matter, figure, how it is worked out)."""
     sent = data["slopes"]["bytes"]
     beat = sent["heartbeat"] + sent["answer"]
-    hot_beat = sent["heartbeat"] + sent["answer with heat"]
     beat_cpu = slope(data, "processor share of an entry, by agent in touch")
     warm_entries = WARM * SIZE.entries / SIZE.agents
     state_mb = SIZE.workspaces * slope(data, "memory of a workspace")
     snapshot = SIZE.workspaces * slope(data, "snapshot of a workspace")
-    dump = SIZE.workspaces * slope(data, "time to dump a state, by workspace")
-    load = SIZE.workspaces * slope(data, "time to load a state, by workspace")
+    dump = SIZE.workspaces * slope(
+        data, "longest slice of a dump, by workspace"
+    )
+    load = SIZE.workspaces * slope(
+        data, "longest slice of a load, by workspace"
+    )
     changes_s = SIZE.changes_day / DAY_S
     keys = SIZE.requests_s * ONCE_SHARE / SIZE.agents * KEY_S
     key_mb = keys * slope(data, "memory of a key")
@@ -69,16 +76,17 @@
     choose_us = 40 * slope(data, "time of a choice, by upstream") * 1e6
     appends = changes_s * RECORDS_PER_CHANGE
     appends += changes_s * LEASES_PER_LAYOUT
-    entry_bytes = WARM * hot_beat / BEAT_S + PEER_ENTRIES * 2 * beat / BEAT_S
-    agent_bytes = warm_entries * hot_beat / BEAT_S
-    entry_cpu = (WARM + PEER_ENTRIES * 2) * beat_cpu
+    entry_bytes = WARM * beat / BEAT_S + PEER_ENTRIES * 2 * beat / PEERS_S
+    agent_bytes = warm_entries * beat / BEAT_S
+    exchanges = WARM / BEAT_S + PEER_ENTRIES * 2 / PEERS_S
+    entry_cpu = exchanges * beat_cpu
     agent_cpu = warm_entries * beat_cpu
     return [
         (
             "entry: control bytes/s",
             f"{entry_bytes / 1000:.1f} KB/s",
-            f"{WARM} warm upstreams x {hot_beat} B + {PEER_ENTRIES} peers, "
-            f"both ways, x {beat} B, each {BEAT_S:.0f} s",
+            f"{WARM} warm upstreams each {BEAT_S:.0f} s, {PEER_ENTRIES} "
+            f"peers both ways each {PEERS_S:.0f} s, x {beat} B",
         ),
         (
             "entry: control processor",
@@ -124,12 +132,12 @@
         (
             "snapshot writer: loop held",
             f"{dump * 1000:.0f} ms",
-            "the dump is one slice today",
+            "the longest slice of a dump",
         ),
         (
             "new process: loop held",
             f"{load * 1000:.0f} ms",
-            "loading a snapshot or a peer's state",
+            "the longest slice of a load",
         ),
         (
             "log: appends",
@@ -153,11 +161,16 @@
 
 
 def main() -> int:
-    """Print the table; return the exit status."""
+    """Write the table into the page; return the exit status."""
     if not RESULTS.exists():
         print("first run: make bench", file=sys.stderr)
         return 1
-    print(table(json.loads(RESULTS.read_text())))
+    made = table(json.loads(RESULTS.read_text()))
+    text = PAGE.read_text()
+    before, _, rest = text.partition(BEGIN)
+    _, _, after = rest.partition(END)
+    PAGE.write_text(f"{before}{BEGIN}\n{made}\n{END}{after}")
+    print(made)
     return 0
 
 
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -16,58 +16,6 @@
 TOKENS = 40
 
 
-def _change_layout(made, version):
-    change = {"kind": "set-model", "group": "m1", "model_version": version}
-    return made.change([change])
-
-
-def _holder(made):
-    """Return the agent that holds, or last held, the group's lease."""
-    for name, _ in made.engines:
-        log = made.processes[name].log.read_text()
-        if "A layout change waits" in log:
-            return name
-    return made.engines[0][0]
-
-
-@when("the layout changes {count:d} times while {what} is {fault}")
-def _(context, count, what, fault):
-    made = context.cluster
-    context.version = 1 + count
-    source = random.Random(7)
-    if what == "store":
-        for name, _ in made.engines:
-            url = f"{made.upstream_http[name]}/control"
-            made.client.post(url, json={"stage_s": 1.0})
-    for number in range(count):
-        _change_layout(made, f"v{number + 2}")
-        time.sleep(source.uniform(0.0, 0.35))
-        _bring_about(made, what, fault)
-        made.wait_layout(2 + number, 40)
-
-
-def _bring_about(made, what, fault):
-    if what == "holder":
-        victim = made.processes[_holder(made)]
-        if fault == "killed":
-            victim.kill()
-            time.sleep(0.2)
-            victim.start()
-        else:
-            victim.freeze()
-            time.sleep(2.5)
-            victim.thaw()
-    elif what == "engine":
-        victim = made.processes[f"engine-{made.engines[-1][0]}"]
-        victim.kill()
-        victim.start()
-
-
-@then("every rank ends on the last layout")
-def _(context):
-    context.cluster.wait_layout(context.version, 40)
-
-
 def _streams(context, count, tokens, entry, fault):
     made = context.cluster
     context.told = []
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -255,7 +255,7 @@
 
 def _as_intent(document):
     plan.make(
-        state.State(), document, author="x", nonce="1", loads_by_group={}
+        state.State(), document, author="x", nonce="1", rebalanced_by_group={}
     )
 
 
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -30,7 +30,7 @@
         return module.World()
     given = module.RULES[rules]()
     if model == "lockstep":
-        return module.World(ranks=ranks, rules=given)
+        return module.World(ranks=ranks, given=given)
     return module.World(rules=given)
 
 
--- a/packages/reelscale-core/src/reelscale_core/plan.py
+++ b/packages/reelscale-core/src/reelscale_core/plan.py
@@ -3,14 +3,13 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-import collections
 import hashlib
 import json
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
 from . import change, error, fold, model, placement, record, schema
-from .state import State, members
+from .state import Slices, State, members
 
 INTENT_SCHEMA = schema.load("reelscale_core", "intent.schema.json")
 # Experts that a rebalance may load at most, as a fraction of all slots.
@@ -39,6 +38,13 @@
     destructive: bool
 
 
+class Rebalanced(NamedTuple):
+    """A layout chosen for a group, and what it gains and costs."""
+
+    layout: model.Layout
+    cost: placement.Cost
+
+
 class Draft(NamedTuple):
     """An intent checked and turned into changes, before its cost."""
 
@@ -52,7 +58,7 @@
     *,
     author: str,
     nonce: str,
-    loads_by_group: Mapping[str, Sequence[Sequence[float]]],
+    rebalanced_by_group: Mapping[str, Rebalanced],
 ) -> Plan:
     """Make a plan on a state.
 
@@ -61,13 +67,13 @@
       intent: The operator's decoded JSON.
       author: Name of the operator's credential.
       nonce: What tells this plan from others of the same intent.
-      loads_by_group: Tokens of each expert by layer, for rebalancing.
+      rebalanced_by_group: What rebalance made for groups that it names.
 
     Raises:
       CodedError: "bad-document" with all faults, or "refused".
     """
     schema.check(intent, INTENT_SCHEMA, step="plan")
-    draft = _draft(state, intent["changes"], loads_by_group)
+    draft = _draft(state, intent["changes"], rebalanced_by_group)
     wrong = fold.problem(state, draft.changes)
     if wrong:
         raise error.CodedError(
@@ -90,6 +96,20 @@
     )
 
 
+def groups_to_rebalance(state: State, intent: Any) -> list[model.Group]:
+    """Return the groups that an intent, checked or not, rebalances."""
+    try:
+        names = [
+            row["group"]
+            for row in intent["changes"]
+            if row["kind"] == "rebalance"
+        ]
+    except (KeyError, TypeError):
+        return []
+    groups = state.groups_by_name
+    return [groups[name] for name in names if name in groups]
+
+
 def _plan_id(state: State, intent: Any, nonce: str) -> str:
     text = json.dumps([state.offset, intent, nonce], sort_keys=True)
     return hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
@@ -98,7 +118,7 @@
 def _draft(
     state: State,
     items: Sequence[dict[str, Any]],
-    loads_by_group: Mapping[str, Sequence[Sequence[float]]],
+    rebalanced_by_group: Mapping[str, Rebalanced],
 ) -> Draft:
     """Expand what an intent leaves to the system."""
     changes: list[change.Change] = []
@@ -116,11 +136,10 @@
                 )
             case "rebalance":
                 group = _group(state, item["group"])
-                loads = loads_by_group.get(group.name, ())
-                layout, cost = rebalance(group, loads)
-                costs[group.name] = cost
+                made = _rebalanced(group, rebalanced_by_group)
+                costs[group.name] = made.cost
                 changes.append(
-                    change.SetLayout(group=group.name, layout=layout)
+                    change.SetLayout(group=group.name, layout=made.layout)
                 )
             case "put-group":
                 changes += _put_group(state, item)
@@ -129,16 +148,12 @@
     return Draft(tuple(changes), costs)
 
 
-def rebalance(
-    group: model.Group, loads_by_layer: Sequence[Sequence[float]]
-) -> tuple[model.Layout, placement.Cost]:
-    """Choose a layout for a group from the load of its experts.
-
-    Raises:
-      CodedError: "no-load" when no load has been reported yet.
-    """
-    old = group.layout.experts_by_slot
-    if len(loads_by_layer) != len(old) or not old:
+def _rebalanced(
+    group: model.Group, rebalanced_by_group: Mapping[str, Rebalanced]
+) -> Rebalanced:
+    """Return what was made for a group, if it is still of use."""
+    made = rebalanced_by_group.get(group.name)
+    if made is None or made.layout.version != group.layout.version + 1:
         raise error.CodedError(
             "no-load",
             step="plan",
@@ -146,10 +161,24 @@
             status=409,
             detail="no expert load has been reported for the group yet",
         )
+    return made
+
+
+def rebalance(
+    group: model.Group, loads_by_layer: Sequence[Sequence[float]]
+) -> Slices[Rebalanced | None]:
+    """Choose a layout from the load of a group's experts, in slices.
+
+    Returns:
+      The layout and its cost; None without a load for each layer.
+    """
+    old = group.layout.experts_by_slot
+    if len(loads_by_layer) != len(old) or not old:
+        return None
     rows = []
     costs = []
     for slots, loads in zip(old, loads_by_layer, strict=True):
-        new, cost = rebalance_layer(group, slots, loads)
+        new, cost = yield from _rebalance_layer(group, slots, loads)
         rows.append(new)
         costs.append(cost)
     layout = group.layout._replace(
@@ -161,19 +190,22 @@
         bound=max(cost.bound for cost in costs),
         moves=sum(cost.moves for cost in costs),
     )
-    return layout, total
+    return Rebalanced(layout, total)
 
 
-def rebalance_layer(
+def _rebalance_layer(
     group: model.Group, slots: Sequence[int], loads: Sequence[float]
-) -> tuple[tuple[int, ...], placement.Cost]:
+) -> Slices[tuple[tuple[int, ...], placement.Cost]]:
     """Choose the placement of one layer and tell what it costs."""
     layer = placement.Layer(tuple(slots), tuple(loads), group.slots_per_rank)
     budget = max(2, int(len(slots) * MOVE_BUDGET))
+    best = layer.slots
     steps = placement.solve(
         layer, skew_weight=group.skew_weight, budget=budget
     )
-    best = collections.deque([layer.slots, *steps], maxlen=1)[0]
+    for placed in steps:
+        best = placed
+        yield
     cost = placement.Cost(
         skew_before=placement.skew(layer),
         skew_after=placement.skew(layer._replace(slots=best)),
--- a/packages/reelscale-core/src/reelscale_core/record.py
+++ b/packages/reelscale-core/src/reelscale_core/record.py
@@ -6,9 +6,7 @@
 import dataclasses
 from typing import Any
 
-from . import change, schema
-
-SCHEMA = schema.load("reelscale_core", "record.schema.json")
+from . import change
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -111,22 +109,38 @@
       The record, or None for anything that is no record of ours: one bad
       record must not stop the readers, and all readers skip the same.
     """
-    if schema.faults(data, SCHEMA):
-        return None
     try:
-        rest = {key: value for key, value in data.items() if key != "kind"}
-        match data["kind"]:
-            case "plan":
-                rest["changes"] = tuple(
-                    change.from_json(item) for item in rest["changes"]
-                )
-                return PlanRecord(**rest)
-            case "confirm":
-                return ConfirmRecord(**rest)
-            case "lease":
-                return LeaseRecord(**rest)
-            case "snapshot":
-                return SnapshotRecord(**rest)
+        made = _build(data)
     except (AttributeError, KeyError, TypeError, ValueError):
         return None
+    return made if made is not None and _well_typed(made) else None
+
+
+def _build(data: Any) -> Record | None:
+    """Build a record of whatever types the data has."""
+    rest = {key: value for key, value in data.items() if key != "kind"}
+    match data["kind"]:
+        case "plan":
+            rest["changes"] = tuple(
+                change.from_json(item) for item in rest["changes"]
+            )
+            return PlanRecord(**rest)
+        case "confirm":
+            return ConfirmRecord(**rest)
+        case "lease":
+            return LeaseRecord(**rest)
+        case "snapshot":
+            return SnapshotRecord(**rest)
     return None
+
+
+def _well_typed(item: Record) -> bool:
+    """Tell whether the fields of a record have the types they should."""
+    return all(
+        isinstance(getattr(item, field.name), _CLASSES[field.type])
+        for field in dataclasses.fields(item)
+        if field.type in _CLASSES
+    )
+
+
+_CLASSES: dict[Any, type] = {str: str, int: int}
--- a/packages/reelscale-core/src/reelscale_core/schedule.py
+++ b/packages/reelscale-core/src/reelscale_core/schedule.py
@@ -11,7 +11,7 @@
 successor, with a higher fence, asks all ranks and finishes or abandons
 what it finds.
 
-The rank's side (Rank) and the holder's side (plan_round) are pure.
+The ranks' side is in lockstep; this is the holder's, and both are pure.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -20,112 +20,13 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from . import lockstep
+
 # The prepared step lies this many steps ahead of the furthest rank; at
 # least two, since a rank that was lost may have been one step ahead.
 MARGIN_STEPS = 8
 
 
-class Rank(NamedTuple):
-    """What a rank, or a box of ranks, holds.
-
-    Attributes:
-      fence: Highest fence accepted.
-      seq: Highest number of an order under that fence.
-      version: Layout of the steps before next_step; 0 when it has lost
-        everything and runs no step.
-      step: The last step it began, -1 for none.
-      floor: The step that it joined at; the group had begun it by then.
-      staged: Layout versions whose weights it holds.
-      next_version: Layout from next_step on, 0 for none prepared.
-      next_step: First step on it.
-      decided: Whether next_step is certain to run on next_version.
-      committed: Whether it may begin next_step.
-      incarnation: Of the engine; a new one has lost everything.
-    """
-
-    fence: int = 0
-    seq: int = 0
-    version: int = 0
-    step: int = -1
-    floor: int = -1
-    staged: frozenset[int] = frozenset()
-    next_version: int = 0
-    next_step: int = 0
-    decided: bool = False
-    committed: bool = False
-    incarnation: str = ""
-
-
-class Stamp(NamedTuple):
-    """What puts orders in order: the holder's fence, then its round."""
-
-    fence: int
-    seq: int
-
-
-class Probe(NamedTuple):
-    """Raise the fence and tell what you hold."""
-
-    fence: int
-    seq: int
-
-
-class Stage(NamedTuple):
-    """Load the weights of a layout."""
-
-    fence: int
-    seq: int
-    version: int
-
-
-class Prepare(NamedTuple):
-    """Promise not to begin a step until told to commit."""
-
-    fence: int
-    seq: int
-    version: int
-    step: int
-
-
-class Decide(NamedTuple):
-    """Know that all have promised; do not begin the step yet."""
-
-    fence: int
-    seq: int
-    version: int
-    step: int
-
-
-class Commit(NamedTuple):
-    """Go on from a prepared step, on its layout."""
-
-    fence: int
-    seq: int
-    version: int
-    step: int
-
-
-class Release(NamedTuple):
-    """Forget a prepared change and go on as before."""
-
-    fence: int
-    seq: int
-
-
-class Adopt(NamedTuple):
-    """Join with nothing at a step, on the schedule of the others."""
-
-    fence: int
-    seq: int
-    version: int
-    step: int
-    next_version: int = 0
-    next_step: int = 0
-
-
-Order = Probe | Stage | Prepare | Decide | Commit | Release | Adopt
-
-
 class Round(NamedTuple):
     """What the holder does next.
 
@@ -135,61 +36,15 @@
       waiting: For whom or what the holder waits, for people.
     """
 
-    orders: dict[str, Order]
+    orders: dict[str, lockstep.Order]
     done: bool = False
     waiting: str = ""
 
 
-def obey(rank: Rank, order: Order) -> tuple[Rank, bool]:
-    """Apply an order to a rank.
-
-    Returns:
-      The rank after it, and whether the order was accepted.  Every order
-      may arrive twice or late.
-    """
-    if (order.fence, order.seq) < (rank.fence, rank.seq):
-        return rank, False
-    rank = rank._replace(fence=order.fence, seq=order.seq)
-    match order:
-        case Probe():
-            return rank, True
-        case Stage(version=version):
-            return rank._replace(staged=rank.staged | {version}), True
-        case Prepare(version=version, step=step):
-            return _prepare(rank, version, step)
-        case Decide(version=version, step=step):
-            return _settle(rank, version, step, committed=False)
-        case Commit(version=version, step=step):
-            return _settle(rank, version, step, committed=True)
-        case Release():
-            if rank.decided:
-                return rank, False
-            return rank._replace(next_version=0, next_step=0), True
-        case Adopt():
-            return _adopt(rank, order)
-
-
-def begins(rank: Rank, step: int) -> int:
-    """Return the layout that a rank runs a step on; 0 if it must wait."""
-    if rank.version == 0:
-        return 0
-    if rank.next_version == 0 or step < rank.next_step:
-        return rank.version
-    return rank.next_version if rank.committed else 0
-
-
-def reached(rank: Rank) -> int:
-    """Return a step that the group is known to have begun.
-
-    No rank, not even one that was lost since, has begun a step more than
-    one beyond the least of these.
-    """
-    return max(rank.step, rank.floor)
-
-
 def note(
-    seen: Mapping[str, Rank], replies: Mapping[str, Rank | None]
-) -> dict[str, Rank]:
+    seen: Mapping[str, lockstep.Rank],
+    replies: Mapping[str, lockstep.Rank | None],
+) -> dict[str, lockstep.Rank]:
     """Take the replies of one round into what a holder knows.
 
     A rank that is newly seen to have lost everything makes all that was
@@ -212,7 +67,7 @@
     return {**kept, **fresh}
 
 
-def _same_loss(before: Rank | None, now: Rank) -> bool:
+def _same_loss(before: lockstep.Rank | None, now: lockstep.Rank) -> bool:
     return (
         before is not None
         and before.version == 0
@@ -220,23 +75,8 @@
     )
 
 
-def advance(rank: Rank, step: int) -> Rank:
-    """Note that a rank begins a step, which begins() allowed."""
-    rank = rank._replace(step=step)
-    if rank.next_version and step >= rank.next_step:
-        return rank._replace(
-            version=rank.next_version,
-            staged=frozenset({rank.next_version}),
-            next_version=0,
-            next_step=0,
-            decided=False,
-            committed=False,
-        )
-    return rank
-
-
 def plan_round(
-    ranks_by_member: Mapping[str, Rank],
+    ranks_by_member: Mapping[str, lockstep.Rank],
     members: frozenset[str],
     *,
     wanted: int,
@@ -255,10 +95,10 @@
       seq: Number of this round, higher than of any before it.
       margin: How far ahead of the furthest rank the prepared step lies.
     """
-    stamp = Stamp(fence, seq)
+    stamp = lockstep.Stamp(fence, seq)
     silent = members - ranks_by_member.keys()
     if silent:
-        orders = {name: Probe(*stamp) for name in sorted(silent)}
+        orders = {name: lockstep.Probe(*stamp) for name in sorted(silent)}
         return Round(orders, waiting=f"answers of {', '.join(sorted(silent))}")
     ranks = dict(ranks_by_member)
     lost = {name for name, rank in ranks.items() if rank.version == 0}
@@ -272,24 +112,31 @@
     return _change(ranks, wanted, stamp, margin)
 
 
-def _found(ranks: Mapping[str, Rank], wanted: int, stamp: Stamp) -> Round:
+def _found(
+    ranks: Mapping[str, lockstep.Rank], wanted: int, stamp: lockstep.Stamp
+) -> Round:
     """Start a group of which no rank holds anything."""
     return _staged_first(
-        ranks, dict.fromkeys(ranks, Adopt(*stamp, wanted, 0)), (wanted,), stamp
+        ranks,
+        dict.fromkeys(ranks, lockstep.Adopt(*stamp, wanted, 0)),
+        (wanted,),
+        stamp,
     )
 
 
-def _rejoin(ranks: Mapping[str, Rank], lost: set[str], stamp: Stamp) -> Round:
+def _rejoin(
+    ranks: Mapping[str, lockstep.Rank], lost: set[str], stamp: lockstep.Stamp
+) -> Round:
     """Give ranks that lost everything the schedule of the others.
 
     The others cannot finish the step that they are at, so what they hold
     stands still: they are all on one version for it.
     """
     others = [rank for name, rank in ranks.items() if name not in lost]
-    least = min(others, key=reached)
+    least = min(others, key=lockstep.reached)
     planned = next((rank for rank in others if rank.decided), None)
     ahead = max(others, key=lambda rank: rank.version)
-    order = Adopt(*stamp, least.version, reached(least))
+    order = lockstep.Adopt(*stamp, least.version, lockstep.reached(least))
     versions: tuple[int, ...] = (least.version,)
     if planned is not None and planned.next_version != least.version:
         order = order._replace(
@@ -306,71 +153,90 @@
 
 
 def _staged_first(
-    ranks: Mapping[str, Rank],
-    orders: Mapping[str, Adopt],
+    ranks: Mapping[str, lockstep.Rank],
+    orders: Mapping[str, lockstep.Adopt],
     versions: tuple[int, ...],
-    stamp: Stamp,
+    stamp: lockstep.Stamp,
 ) -> Round:
     """Stage what is missing before the orders that need it."""
-    first: dict[str, Order] = {}
+    first: dict[str, lockstep.Order] = {}
     for name in orders:
         for version in versions:
             if version not in ranks[name].staged:
-                first[name] = Stage(*stamp, version)
+                first[name] = lockstep.Stage(*stamp, version)
     return Round(first or dict(orders), waiting="ranks that lost their layout")
 
 
-def _finish(ranks: Mapping[str, Rank], done: Rank, stamp: Stamp) -> Round:
+def _finish(
+    ranks: Mapping[str, lockstep.Rank],
+    done: lockstep.Rank,
+    stamp: lockstep.Stamp,
+) -> Round:
     """Carry a decided change through: decide everywhere, then commit."""
     version, step = done.next_version, done.next_step
     waiting = {n: r for n, r in ranks.items() if r.next_version}
-    orders: dict[str, Order] = {name: Probe(*stamp) for name in ranks}
+    orders: dict[str, lockstep.Order] = {
+        name: lockstep.Probe(*stamp) for name in ranks
+    }
     undecided = [name for name, r in waiting.items() if not r.decided]
     for name in undecided:
         rank = waiting[name]
         promised = rank.next_version == version and rank.next_step == step
-        order = Decide if promised else Prepare
+        order = lockstep.Decide if promised else lockstep.Prepare
         orders[name] = order(*stamp, version, step)
     if not undecided:
         for name, rank in waiting.items():
             if not rank.committed:
-                orders[name] = Commit(*stamp, version, step)
+                orders[name] = lockstep.Commit(*stamp, version, step)
     return Round(orders, waiting=f"step {step}")
 
 
 def _change(
-    ranks: Mapping[str, Rank], wanted: int, stamp: Stamp, margin: int
+    ranks: Mapping[str, lockstep.Rank],
+    wanted: int,
+    stamp: lockstep.Stamp,
+    margin: int,
 ) -> Round:
     versions = {rank.version for rank in ranks.values()}
     prepared = {name for name, r in ranks.items() if r.next_version}
     if len(versions) > 1:
         return _catch_up(ranks, prepared, max(versions), stamp)
     if versions == {wanted}:
-        orders: dict[str, Order] = {
-            name: Release(*stamp) for name in sorted(prepared)
+        orders: dict[str, lockstep.Order] = {
+            name: lockstep.Release(*stamp) for name in sorted(prepared)
         }
         return Round(orders, done=not orders, waiting="releases")
     missing = {n for n, r in ranks.items() if wanted not in r.staged}
     if missing:
-        orders = {name: Stage(*stamp, wanted) for name in sorted(missing)}
+        orders = {
+            name: lockstep.Stage(*stamp, wanted) for name in sorted(missing)
+        }
         return Round(orders, waiting=f"layout {wanted} to be loaded")
     return _prepare_all(ranks, wanted, stamp, margin)
 
 
 def _catch_up(
-    ranks: Mapping[str, Rank], prepared: set[str], ahead: int, stamp: Stamp
+    ranks: Mapping[str, lockstep.Rank],
+    prepared: set[str],
+    ahead: int,
+    stamp: lockstep.Stamp,
 ) -> Round:
     """Let the ranks before a decided change follow those past it."""
-    orders: dict[str, Order] = {name: Probe(*stamp) for name in ranks}
+    orders: dict[str, lockstep.Order] = {
+        name: lockstep.Probe(*stamp) for name in ranks
+    }
     for name in sorted(prepared):
         rank = ranks[name]
         if rank.next_version == ahead:
-            orders[name] = Commit(*stamp, ahead, rank.next_step)
+            orders[name] = lockstep.Commit(*stamp, ahead, rank.next_step)
     return Round(orders, waiting=f"layout {ahead} at all ranks")
 
 
 def _prepare_all(
-    ranks: Mapping[str, Rank], wanted: int, stamp: Stamp, margin: int
+    ranks: Mapping[str, lockstep.Rank],
+    wanted: int,
+    stamp: lockstep.Stamp,
+    margin: int,
 ) -> Round:
     """Get a promise of every rank for one step, then decide."""
     promised = {
@@ -380,54 +246,8 @@
     }
     every = all(rank.next_version == wanted for rank in ranks.values())
     if every and len(promised) == 1:
-        decide = Decide(*stamp, wanted, promised.pop())
+        decide = lockstep.Decide(*stamp, wanted, promised.pop())
         return Round(dict.fromkeys(ranks, decide), waiting="decisions")
-    step = max(reached(rank) for rank in ranks.values()) + margin
-    prepare = Prepare(*stamp, wanted, step)
+    step = max(lockstep.reached(rank) for rank in ranks.values()) + margin
+    prepare = lockstep.Prepare(*stamp, wanted, step)
     return Round(dict.fromkeys(ranks, prepare), waiting="promises")
-
-
-def _prepare(rank: Rank, version: int, step: int) -> tuple[Rank, bool]:
-    same = rank.next_version == version and rank.next_step == step
-    if same:
-        return rank, True
-    usable = (
-        rank.version != 0
-        and not rank.decided
-        and version in rank.staged
-        and rank.step < step
-    )
-    if not usable:
-        return rank, False
-    return rank._replace(next_version=version, next_step=step), True
-
-
-def _settle(
-    rank: Rank, version: int, step: int, *, committed: bool
-) -> tuple[Rank, bool]:
-    if rank.version == version and not rank.next_version:
-        return rank, True
-    if rank.next_version != version or rank.next_step != step:
-        return rank, False
-    committed = committed or rank.committed
-    return rank._replace(decided=True, committed=committed), True
-
-
-def _adopt(rank: Rank, order: Adopt) -> tuple[Rank, bool]:
-    if rank.version != 0:
-        return rank, rank.version == order.version
-    needed = {order.version} | ({order.next_version} - {0})
-    if not needed <= rank.staged:
-        return rank, False
-    return (
-        rank._replace(
-            version=order.version,
-            step=order.step - 1,
-            floor=order.step,
-            next_version=order.next_version,
-            next_step=order.next_step,
-            decided=order.next_version != 0,
-            committed=order.next_version != 0,
-        ),
-        True,
-    )
--- a/packages/reelscale-core/src/reelscale_core/state.py
+++ b/packages/reelscale-core/src/reelscale_core/state.py
@@ -4,10 +4,11 @@
 __license__ = "Apache-2.0"
 
 import hashlib
-import json
-from typing import Any, NamedTuple
+from collections.abc import Callable, Generator
+from typing import Any, NamedTuple, TypeVar
 
 import immutables
+import orjson
 
 from . import model, record
 
@@ -58,6 +59,13 @@
 
 EMPTY = immutables.Map()
 
+# Objects that are turned at a time.
+SLICE = 200
+
+Result = TypeVar("Result")
+# Work that yields now and then, so that a loop can do other things between.
+Slices = Generator[None, None, Result]
+
 
 class State(NamedTuple):
     """Everything that the log says, folded up to an offset.
@@ -88,28 +96,27 @@
 
 
 def dump(state: State) -> str:
-    """Return a state as canonical JSON text."""
-    objects = {
-        name: {
-            key: model.to_json(thing)
-            for key, thing in getattr(state, name).items()
-        }
-        for name in _BUILDERS
-    }
-    plans = {
-        key: [offset, record.to_json(plan)]
-        for key, (offset, plan) in state.plans_by_id.items()
-    }
-    data = {
-        "offset": state.offset,
-        **objects,
-        "changed_by_key": dict(state.changed_by_key),
-        "plans_by_id": plans,
-        "verdicts_by_id": dict(state.verdicts_by_id),
-        "leases_by_name": dict(state.leases_by_name),
-        "members_by_target": dict(state.members_by_target),
-    }
-    return json.dumps(data, sort_keys=True, separators=(",", ":"))
+    """Return a state as canonical text, a JSON object a line."""
+    return run(dump_slices(state))
+
+
+def dump_slices(state: State) -> Slices[str]:
+    """Dump a state a little at a time; see Slices.
+
+    The first line holds the offset; each other the name of a field and
+    some of its rows, in the order of their keys.
+    """
+    lines = [orjson.dumps({"offset": state.offset})]
+    for field, (turn, _) in _TURNS.items():
+        rows = getattr(state, field)
+        keys = sorted(rows)
+        yield
+        for at in range(0, len(keys), SLICE):
+            part = {key: turn(rows[key]) for key in keys[at : at + SLICE]}
+            line = {"of": field, "rows": part}
+            lines.append(orjson.dumps(line, default=tuple))
+            yield
+    return b"\n".join(lines).decode()
 
 
 def load(text: str) -> State:
@@ -118,27 +125,31 @@
     Raises:
       ValueError, KeyError, TypeError: The text is not of dump.
     """
-    data = json.loads(text)
-    objects = {
-        name: immutables.Map(
-            {key: build(thing) for key, thing in data[name].items()}
-        )
-        for name, build in _BUILDERS.items()
-    }
-    return State(
-        offset=data["offset"],
-        **objects,
-        changed_by_key=immutables.Map(data["changed_by_key"]),
-        plans_by_id=_load_plans(data["plans_by_id"]),
-        verdicts_by_id=_load_rows(data["verdicts_by_id"], Verdict),
-        leases_by_name=_load_rows(data["leases_by_name"], Lease),
-        members_by_target=immutables.Map(
-            {
-                key: tuple(Membership(row[0], tuple(row[1])) for row in rows)
-                for key, rows in data["members_by_target"].items()
-            }
-        ),
-    )
+    return run(load_slices(text))
+
+
+def load_slices(text: str) -> Slices[State]:
+    """Load a state a little at a time; see Slices."""
+    first, *lines = text.split("\n")
+    state = State(offset=orjson.loads(first)["offset"])
+    for line in lines:
+        data = orjson.loads(line)
+        field = data["of"]
+        _, build = _TURNS[field]
+        rows = {key: build(row) for key, row in data["rows"].items()}
+        table = getattr(state, field).update(rows)
+        state = state._replace(**{field: table})
+        yield
+    return state
+
+
+def run(slices: Slices[Result]) -> Result:
+    """Run slices to their end at once."""
+    while True:
+        try:
+            next(slices)
+        except StopIteration as ended:
+            return ended.value
 
 
 def digest(text: str) -> str:
@@ -152,20 +163,31 @@
     return rows[-1].members if rows else ()
 
 
-def _load_plans(data: dict[str, Any]) -> immutables.Map:
-    rows = {}
-    for key, (offset, plan) in data.items():
-        rows[key] = (offset, record.from_json(plan))
-    return immutables.Map(rows)
+def _same(value: Any) -> Any:
+    return value
+
+
+def _plan_to_json(row: tuple[int, record.PlanRecord]) -> list[Any]:
+    return [row[0], record.to_json(row[1])]
+
+
+def _plan(row: list[Any]) -> tuple[int, record.Record | None]:
+    return row[0], record.from_json(row[1])
 
 
-def _load_rows(data: dict[str, Any], build: Any) -> immutables.Map:
-    return immutables.Map({key: build(*row) for key, row in data.items()})
+def _memberships(rows: list[Any]) -> tuple[Membership, ...]:
+    return tuple(Membership(row[0], tuple(row[1])) for row in rows)
 
 
-_BUILDERS = {
-    "workspaces_by_name": model.workspace,
-    "services_by_name": model.service,
-    "groups_by_name": model.group,
-    "upstreams_by_name": model.upstream,
+# How the rows of each field are turned into JSON data and built from it.
+_TURNS: dict[str, tuple[Callable[[Any], Any], Callable[[Any], Any]]] = {
+    "workspaces_by_name": (model.to_json, model.workspace),
+    "services_by_name": (model.to_json, model.service),
+    "groups_by_name": (model.to_json, model.group),
+    "upstreams_by_name": (model.to_json, model.upstream),
+    "changed_by_key": (_same, _same),
+    "plans_by_id": (_plan_to_json, _plan),
+    "verdicts_by_id": (_same, lambda row: Verdict(*row)),
+    "leases_by_name": (_same, lambda row: Lease(*row)),
+    "members_by_target": (_same, _memberships),
 }
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/engine.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/engine.py
@@ -5,7 +5,7 @@
 
 from typing import Any, NamedTuple
 
-from reelscale_core import model, schedule
+from reelscale_core import lockstep, model
 
 from . import upstream
 
@@ -46,7 +46,7 @@
         data["heat"] = tuple(data.get("heat", ()))
         return Load(**data)
 
-    async def rank(self) -> schedule.Rank:
+    async def rank(self) -> lockstep.Rank:
         """Ask what layouts the engine's ranks hold."""
         return _rank(await self._upstream.fetch("GET", "/rank"))
 
@@ -56,8 +56,8 @@
         await self._upstream.fetch("POST", "/orders", order)
 
     async def order(
-        self, order: schedule.Order, layout: model.Layout | None
-    ) -> tuple[schedule.Rank, bool]:
+        self, order: lockstep.Order, layout: model.Layout | None
+    ) -> tuple[lockstep.Rank, bool]:
         """Give a layout order.
 
         Returns:
@@ -70,5 +70,5 @@
         return _rank(got["rank"]), got["accepted"]
 
 
-def _rank(data: dict[str, Any]) -> schedule.Rank:
-    return schedule.Rank(**{**data, "staged": frozenset(data["staged"])})
+def _rank(data: dict[str, Any]) -> lockstep.Rank:
+    return lockstep.Rank(**{**data, "staged": frozenset(data["staged"])})
--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -31,7 +31,7 @@
 STOP_POLL_S = 0.05
 # An agent is ready this long after its first grant: by then every entry
 # that is there has had one, so the next agent may be replaced.
-IN_TOUCH_S = 1.0
+IN_TOUCH_S = 1.5
 # What a request sent at the last moment of a grant may take to arrive.
 STOP_MARGIN_S = 0.5
 
@@ -156,14 +156,16 @@
             step_ms=self._load.step_ms,
             model_version=self._load.model_version,
             healthy=now - self._load_at < UNWELL_S,
-            heat=list(self._load.heat),
+            heat=list(self._load.heat) if beat.want_heat else [],
             log_age_ms=base.config.log_age_ms(),
             peer=base.settings.peer,
         )
 
-    def state(self, request: ttypes.StateRequest) -> ttypes.StateReply:
+    def state(self, request: ttypes.StateRequest) -> defer.Deferred:
         """Give the configuration to a peer that cannot reach the log."""
-        return self._base.config.answer(request.have_offset)
+        return defer.ensureDeferred(
+            self._base.config.answer(request.have_offset)
+        )
 
     async def _submit(self, request: ttypes.Submit) -> ttypes.Verdict:
         if request.attempt in self._streams.by_attempt:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -18,7 +18,7 @@
 from reelscale_wire.gen import ttypes
 from twisted.internet import defer, task
 
-from .. import logs
+from .. import logs, slices
 from ..adapters import platform
 
 LOG = logs.Part("config")
@@ -54,6 +54,7 @@
         self._links = links
         self.peers = set(peers)
         self._down_said = False
+        self._dumped = (-1, "")
         self._snapshot_every = snapshot_every
         self._poll_s = poll_s
         self._log_at = float("-inf")
@@ -129,19 +130,25 @@
         if behind and self.log_age_s() > LOG_FRESH_S and not self._pulling:
             defer.ensureDeferred(self._pull(peer))
 
-    def answer(self, have_offset: int) -> ttypes.StateReply:
+    async def answer(self, have_offset: int) -> ttypes.StateReply:
         """Answer a peer that asks for the state."""
-        if have_offset >= self.state.offset:
-            return ttypes.StateReply(
-                offset=self.state.offset, digest="", state=b""
-            )
-        text = states.dump(self.state)
+        state = self.state
+        if have_offset >= state.offset:
+            return ttypes.StateReply(offset=state.offset, digest="", state=b"")
+        text = await self._dump(state)
         return ttypes.StateReply(
-            offset=self.state.offset,
+            offset=state.offset,
             digest=states.digest(text),
             state=text.encode(),
         )
 
+    async def _dump(self, state: states.State) -> str:
+        """Dump a state; the newest dump is kept, as many may ask."""
+        if self._dumped[0] != state.offset:
+            text = await slices.run(self._reactor, states.dump_slices(state))
+            self._dumped = (state.offset, text)
+        return self._dumped[1]
+
     async def _read(self) -> None:
         wait_s = self._poll_s if self.ready else 0.0
         got = await self._platform.read(self.state.offset + 1, wait_s=wait_s)
@@ -167,7 +174,7 @@
                 break
             rows += more.rows
             at = more.rows[-1][0] + 1
-        whole = snapshot.newest(rows)
+        whole = await slices.run(self._reactor, snapshot.newest_slices(rows))
         usable = whole is not None and whole.offset + 1 >= got.oldest
         if not usable or whole.offset <= self.state.offset:
             self.gap = True
@@ -219,9 +226,11 @@
         self._note_snapshots(got.rows)
         if self._last_snapshot != seen:
             return
-        for part in snapshot.cut(self.state):
+        state = self.state
+        text = await self._dump(state)
+        for part in snapshot.cut_text(state.offset, text):
             await self._platform.append([part])
-        LOG.info("Wrote a snapshot.", offset=self.state.offset)
+        LOG.info("Wrote a snapshot.", offset=state.offset)
 
     async def _ask_peers(self, down: error.CodedError | None) -> None:
         """Ask a few peers; ready once any has answered with a state."""
@@ -252,15 +261,16 @@
         finally:
             self._pulling = False
         if reply.state:
-            return self._take_peers(peer, reply)
+            return await self._take_peers(peer, reply)
         return reply.offset >= 0
 
-    def _take_peers(self, peer: str, reply: ttypes.StateReply) -> bool:
+    async def _take_peers(self, peer: str, reply: ttypes.StateReply) -> bool:
         text = reply.state.decode()
         if states.digest(text) != reply.digest:
             LOG.error("A peer sent a damaged state.", peer=peer)
             return False
-        self._take(states.load(text))
+        loading = states.load_slices(text)
+        self._take(await slices.run(self._reactor, loading))
         LOG.info(
             "Took the state of a peer.", peer=peer, offset=self.state.offset
         )
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/intents.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/intents.py
@@ -10,7 +10,7 @@
 from reelscale_core import error, plan, record
 from reelscale_core import state as states
 
-from .. import logs
+from .. import logs, slices
 from ..adapters import platform
 from . import config, membership
 
@@ -25,27 +25,30 @@
     def __init__(
         self,
         *,
+        reactor: Any,
         config: config.Config,
         platform: platform.Platform,
         membership: membership.Membership,
     ) -> None:
+        self._reactor = reactor
         self._config = config
         self._platform = platform
         self._membership = membership
 
-    async def plan(self, intent: Any, author: str) -> plan.Plan:
+    async def make_plan(self, intent: Any, author: str) -> plan.Plan:
         """Make a plan and put it into the log; nothing changes yet.
 
         Raises:
           CodedError: The intent is wrong, or the log is down.
         """
         self._must_be_ready("plan")
+        rebalanced = await self._rebalance(intent)
         made = plan.make(
             self._config.state,
             intent,
             author=author,
             nonce=uuid.uuid4().hex,
-            loads_by_group=self.loads_by_group(),
+            rebalanced_by_group=rebalanced,
         )
         await self._append(made.record, made.record.id, step="plan")
         LOG.info("Made a plan.", plan=made.record.id, author=author)
@@ -84,15 +87,30 @@
         )
         return verdict
 
+    async def _rebalance(self, intent: Any) -> dict[str, plan.Rebalanced]:
+        """Choose layouts for the groups that an intent rebalances."""
+        groups = plan.groups_to_rebalance(self._config.state, intent)
+        if not groups:
+            return {}
+        await self._membership.wake(heat=True)
+        loads = self.loads_by_group()
+        found = {}
+        for group in groups:
+            steps = plan.rebalance(group, loads.get(group.name, ()))
+            made = await slices.run(self._reactor, steps)
+            if made is not None:
+                found[group.name] = made
+        return found
+
     def loads_by_group(self) -> dict[str, Sequence[Sequence[float]]]:
         """Return recent tokens by group, layer and expert."""
         groups = self._config.state.groups_by_name
         total: dict[str, list[float]] = {}
         for view in self._membership.views_by_name.values():
             target = view.upstream.target
-            if target not in groups or view.pulse is None:
+            if target not in groups:
                 continue
-            heat = view.pulse.heat
+            heat = view.heat
             sums = total.setdefault(target, [0.0] * len(heat))
             if len(heat) == len(sums):
                 total[target] = [
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
@@ -16,6 +16,7 @@
     clock,
     error,
     lease,
+    lockstep,
     model,
     record,
     rendezvous,
@@ -56,7 +57,7 @@
         incarnation: str,
         lease_s: float,
     ) -> None:
-        self.rank = schedule.Rank()
+        self.rank = lockstep.Rank()
         self._reactor = reactor
         self._clock = clock
         self._config = config
@@ -167,7 +168,7 @@
 
     async def _change(self, name: str) -> None:
         """Give orders, round after round, until all is as configured."""
-        ranks: dict[str, schedule.Rank] = {}
+        ranks: dict[str, lockstep.Rank] = {}
         said = ""
         seq = 0
         while not self._stopped:
@@ -196,8 +197,8 @@
         self,
         group: model.Group,
         plan: schedule.Round,
-        ranks: dict[str, schedule.Rank],
-    ) -> dict[str, schedule.Rank]:
+        ranks: dict[str, lockstep.Rank],
+    ) -> dict[str, lockstep.Rank]:
         """Send one round of orders and take in what is answered."""
         names = sorted(plan.orders)
         replies = await defer.gatherResults(
@@ -211,11 +212,11 @@
         return schedule.note(ranks, dict(zip(names, replies, strict=True)))
 
     async def _send(
-        self, group: model.Group, name: str, order: schedule.Order
-    ) -> schedule.Rank | None:
+        self, group: model.Group, name: str, order: lockstep.Order
+    ) -> lockstep.Rank | None:
         """Send one order if the lease still holds right now."""
         layout = ""
-        if isinstance(order, schedule.Stage):
+        if isinstance(order, lockstep.Stage):
             layout = _layout_json(group, order.version)
         message = orders.to_wire(group.name, order, layout)
         if not lease.usable(self._held, self._clock.monotonic()):
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
@@ -8,6 +8,7 @@
 __license__ = "Apache-2.0"
 
 import dataclasses
+from collections.abc import Sequence
 from typing import Any
 
 from reelscale_core import circuit, clock, error, model, rendezvous, routing
@@ -22,6 +23,7 @@
 LOG = logs.Part("membership")
 # Other entries that an entry exchanges offsets with.
 PEER_ENTRIES = 8
+PEERS_EVERY_S = 5.0
 BOXES_EVERY_S = 2.0
 # An upstream that this entry has used this recently keeps its grant fresh;
 # others are asked for one when a request comes, and now and then besides.
@@ -45,6 +47,7 @@
       asked_at: Monotonic seconds of the last heartbeat sent.
       beating: The heartbeat in progress, if any.
       tie: Settles ties between upstreams, for this entry alone.
+      heat: Recent tokens of each expert, as last asked for.
     """
 
     upstream: model.Upstream
@@ -57,6 +60,7 @@
     asked_at: float = float("-inf")
     beating: defer.Deferred | None = None
     tie: int = 0
+    heat: Sequence[int] = ()
 
     def due(self, now: float) -> bool:
         """Tell whether it is time for a heartbeat."""
@@ -134,6 +138,7 @@
         for every_s, function in (
             (self._heartbeat_s, self._beat_all),
             (BOXES_EVERY_S, self._read_boxes),
+            (PEERS_EVERY_S, self._beat_entries),
         ):
             loop = task.LoopingCall(function)
             loop.start(every_s)
@@ -198,10 +203,16 @@
             view.upstream = upstream
         self._beat_all()
 
-    async def wake(self, target: str | None = None) -> None:
+    async def wake(
+        self, target: str | None = None, *, heat: bool = False
+    ) -> None:
         """Ask the upstreams of a target, or all, for fresh grants.
 
         Returns when each has answered or failed to.
+
+        Args:
+          target: Whose upstreams; all if None.
+          heat: Whether to ask for the heat of their experts as well.
         """
         now = self._clock.monotonic()
         views = [
@@ -212,7 +223,7 @@
         for view in views:
             if target is not None:
                 view.used_at = now
-            self._beat_once(view)
+            self._beat_once(view, heat=heat)
         await defer.DeferredList(
             [_fork(view.beating) for view in views if view.beating]
         )
@@ -229,21 +240,24 @@
         for view in list(self.views_by_name.values()):
             if view.due(now):
                 self._beat_once(view)
+
+    def _beat_entries(self) -> None:
         mine = rendezvous.subset(self._name, self._entries, size=PEER_ENTRIES)
         for name in mine:
             defer.ensureDeferred(self._beat_entry(self._entries[name]))
 
-    def _beat_once(self, view: View) -> None:
+    def _beat_once(self, view: View, *, heat: bool = False) -> None:
         if view.beating is None:
             view.asked_at = self._clock.monotonic()
-            view.beating = defer.ensureDeferred(self._beat(view))
+            view.beating = defer.ensureDeferred(self._beat(view, heat))
 
-    async def _beat(self, view: View) -> None:
+    async def _beat(self, view: View, heat: bool) -> None:
         """Exchange a heartbeat with one agent."""
         asked_at = self._clock.monotonic()
         own = view.own
         waiting = self.waiting_by_target.get(view.upstream.target, 0)
         beat = self._message({view.upstream.name: own + waiting})
+        beat.want_heat = heat
         try:
             # A turn of the loop, so that the caller has noted the attempt.
             await task.deferLater(self._reactor, 0)
@@ -262,6 +276,7 @@
             )
             return
         view.pulse = pulse
+        view.heat = pulse.heat or view.heat
         view.heard_at = asked_at
         view.own_reported = own
         self._config.hear(pulse.peer, pulse.offset)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/orders.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/orders.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import orjson
-from reelscale_core import clock, lease, model, schedule
+from reelscale_core import clock, lease, lockstep, model
 from reelscale_wire.gen import ttypes
 from twisted.internet import defer
 
@@ -98,7 +98,7 @@
 
 
 def to_wire(
-    group: str, order: schedule.Order, layout_json: str
+    group: str, order: lockstep.Order, layout_json: str
 ) -> ttypes.Order:
     """Turn an order into a message."""
     data: dict[str, Any] = order._asdict()
@@ -117,27 +117,27 @@
 
 def from_wire(
     message: ttypes.Order,
-) -> tuple[schedule.Order, model.Layout | None]:
+) -> tuple[lockstep.Order, model.Layout | None]:
     """Turn a message into an order and, with stage, its layout."""
     stamp = (message.fence, message.seq)
     version, step = message.version, message.step
     match message.kind:
         case "probe":
-            return schedule.Probe(*stamp), None
+            return lockstep.Probe(*stamp), None
         case "stage":
-            return schedule.Stage(*stamp, version), parse_layout(
+            return lockstep.Stage(*stamp, version), parse_layout(
                 message.layout
             )
         case "prepare":
-            return schedule.Prepare(*stamp, version, step), None
+            return lockstep.Prepare(*stamp, version, step), None
         case "decide":
-            return schedule.Decide(*stamp, version, step), None
+            return lockstep.Decide(*stamp, version, step), None
         case "commit":
-            return schedule.Commit(*stamp, version, step), None
+            return lockstep.Commit(*stamp, version, step), None
         case "release":
-            return schedule.Release(*stamp), None
+            return lockstep.Release(*stamp), None
         case "adopt":
-            order = schedule.Adopt(
+            order = lockstep.Adopt(
                 *stamp, version, step, message.next_version, message.next_step
             )
             return order, None
@@ -150,16 +150,16 @@
     return model.layout(orjson.loads(text))
 
 
-def rank_to_wire(rank: schedule.Rank) -> ttypes.RankState:
+def rank_to_wire(rank: lockstep.Rank) -> ttypes.RankState:
     """Turn what a rank holds into a message."""
     data = rank._asdict()
     data["staged"] = sorted(rank.staged)
     return ttypes.RankState(**data)
 
 
-def rank_from_wire(message: ttypes.RankState) -> schedule.Rank:
+def rank_from_wire(message: ttypes.RankState) -> lockstep.Rank:
     """Turn a message into what a rank holds."""
-    return schedule.Rank(
+    return lockstep.Rank(
         fence=message.fence,
         seq=message.seq,
         floor=message.floor,
--- a/packages/reelscale-daemon/src/reelscale_daemon/entry.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/entry.py
@@ -53,6 +53,7 @@
             incarnation=base.incarnation,
         )
         self._intents = intents.Intents(
+            reactor=reactor,
             config=base.config,
             platform=base.platform,
             membership=self._membership,
@@ -100,9 +101,11 @@
             peer=base.settings.peer,
         )
 
-    def state(self, request: ttypes.StateRequest) -> ttypes.StateReply:
+    def state(self, request: ttypes.StateRequest) -> defer.Deferred:
         """Give the configuration to a peer that cannot reach the log."""
-        return self._base.config.answer(request.have_offset)
+        return defer.ensureDeferred(
+            self._base.config.answer(request.have_offset)
+        )
 
     def _root(self) -> resource.Resource:
         base = self._base
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -9,51 +9,13 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from typing import Any
-
-from reelscale_core import answer, error, once, retry
-from reelscale_core import state as states
-from reelscale_wire import link
-from reelscale_wire.gen import ttypes
-from twisted.internet import defer, task
+from reelscale_core import error, retry
 
 from . import admit, call, parts, writer
+from . import attempt as attempts
 
-SUBMIT_TIMEOUT_S = 5.0
-CANCEL_TIMEOUT_S = 1.0
-PULL_TIMEOUT_S = 15.0
-# For this long a broken connection to an agent is tried again.
-RELINK_S = 2.0
-RELINK_PAUSE_S = 0.1
-PULL_BYTES = 65536
 # A stream that lost its upstream waits this long for a slot elsewhere.
 RESUME_WAIT_S = 20.0
-KINDS = ttypes.VerdictKind
-
-
-class AttemptLostError(Exception):
-    """An attempt came to nothing, or broke midway.
-
-    Attributes:
-      code: Why.
-      peer: The upstream.
-      not_run: Whether it is proved that the upstream did not run it.
-      retry_after_s: When the upstream asks to be tried again.
-    """
-
-    def __init__(
-        self,
-        code: str,
-        *,
-        peer: str,
-        not_run: bool,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(code)
-        self.code = code
-        self.peer = peer
-        self.not_run = not_run
-        self.retry_after_s = retry_after_s
 
 
 async def relay(asked: call.Call, given: parts.Parts) -> None:
@@ -70,10 +32,10 @@
     while True:
         tries += 1
         try:
-            await _attempt(asked, given, out)
+            await attempts.run(asked, given, out)
             asked.outcome = error.OUTCOME_RAN
             return
-        except AttemptLostError as lost:
+        except attempts.AttemptLostError as lost:
             ran = ran or not lost.not_run
             await _again(asked, given, out, lost, tries, ran)
 
@@ -82,7 +44,7 @@
     asked: call.Call,
     given: parts.Parts,
     out: writer.Writer,
-    lost: AttemptLostError,
+    lost: attempts.AttemptLostError,
     tries: int,
     ran: bool,
 ) -> None:
@@ -121,7 +83,7 @@
     asked: call.Call,
     given: parts.Parts,
     out: writer.Writer,
-    lost: AttemptLostError,
+    lost: attempts.AttemptLostError,
     ran: bool,
 ) -> None:
     """Wait for a slot once more; a stream goes ahead of new requests."""
@@ -142,7 +104,7 @@
     asked: call.Call,
     given: parts.Parts,
     out: writer.Writer,
-    lost: AttemptLostError,
+    lost: attempts.AttemptLostError,
     ran: bool,
 ) -> Exception:
     """Return the error that ends a request, with its true outcome."""
@@ -159,196 +121,3 @@
         retry_after_s=after,
         outcome=error.OUTCOME_UNKNOWN if ran else error.OUTCOME_NOT_RUN,
     )
-
-
-async def _attempt(
-    asked: call.Call, given: parts.Parts, out: writer.Writer
-) -> None:
-    """Send one attempt and relay what it gives."""
-    name, reason, address = _destination(asked, given)
-    attempt = given.next_id()
-    asked.attempts.append(f"{name} ({reason})")
-    given.metrics.attempts.inc({"upstream": name})
-    to = given.links.to(address)
-    asked.on_left = lambda: defer.ensureDeferred(_cancel(to, attempt))
-    await _submit(asked, given, out, attempt, name, to)
-    try:
-        await _pull_all(asked, given, out, attempt, name, to)
-    except writer.CallerLeftError:
-        asked.on_left()
-        raise
-    except AttemptLostError as lost:
-        if not lost.not_run:
-            defer.ensureDeferred(_cancel(to, attempt))
-        raise
-
-
-def _destination(asked: call.Call, given: parts.Parts) -> tuple[str, str, str]:
-    """Return the name, the reason and the address of the upstream."""
-    if asked.once_key:
-        members = states.members(given.config.state, asked.target)
-        name = once.home(_scoped(asked), members) or ""
-        reason = "key"
-        if given.membership.away(name):
-            raise AttemptLostError("home-away", peer=name, not_run=True)
-    else:
-        name, reason = asked.choice.name, asked.choice.reason
-    upstream = given.upstream(name)
-    if upstream is None:
-        raise AttemptLostError("no-upstream", peer=name, not_run=True)
-    return name, reason, upstream.agent
-
-
-def _scoped(asked: call.Call) -> str:
-    """Return a key as agents know it, apart for each workspace."""
-    return f"{asked.workspace.name}/{asked.once_key}"
-
-
-async def _submit(
-    asked: call.Call,
-    given: parts.Parts,
-    out: writer.Writer,
-    attempt: str,
-    name: str,
-    to: link.Link,
-) -> None:
-    """Get an attempt admitted.
-
-    Raises:
-      AttemptLostError: It was not, or that cannot be told.
-    """
-    message = _message(asked, given, out, attempt)
-    view = given.membership.views_by_name.get(name)
-    known = view.pulse.incarnation if view and view.pulse else ""
-    try:
-        verdict = await to.call("submit", message, timeout_s=SUBMIT_TIMEOUT_S)
-    except link.LinkError as lost:
-        given.note_failure(name)
-        if not lost.written:
-            raise AttemptLostError(
-                "unreachable", peer=name, not_run=True
-            ) from lost
-        await _settle(to, attempt, name, known)
-        return
-    if verdict.kind == KINDS.ADMITTED:
-        return
-    raise AttemptLostError(
-        verdict.code,
-        peer=name,
-        not_run=verdict.kind == KINDS.REFUSED,
-        retry_after_s=verdict.retry_after_ms / 1000 or None,
-    )
-
-
-async def _settle(to: link.Link, attempt: str, name: str, known: str) -> None:
-    """Find out what became of an attempt whose answer was lost.
-
-    Only the same incarnation of the agent can prove that it did not run:
-    a new one has forgotten what its forerunner ran.
-    """
-    verdict = await _cancel(to, attempt)
-    if verdict is None:
-        raise AttemptLostError("agent-lost", peer=name, not_run=False)
-    same = bool(known) and verdict.incarnation == known
-    proved = same and verdict.kind == KINDS.REFUSED
-    raise AttemptLostError("agent-lost", peer=name, not_run=proved)
-
-
-async def _cancel(to: link.Link, attempt: str) -> ttypes.Verdict | None:
-    try:
-        return await to.call(
-            "cancel",
-            ttypes.Cancel(attempt=attempt),
-            timeout_s=CANCEL_TIMEOUT_S,
-        )
-    except link.LinkError:
-        return None
-
-
-def _message(
-    asked: call.Call, given: parts.Parts, out: writer.Writer, attempt: str
-) -> ttypes.Submit:
-    left_s = asked.deadline - given.clock.monotonic()
-    return ttypes.Submit(
-        attempt=attempt,
-        workspace=asked.workspace.name,
-        target=asked.target,
-        method=asked.method,
-        path=asked.path,
-        headers=[ttypes.Header(name=n, value=v) for n, v in asked.headers],
-        body=asked.body,
-        resume_from=out.events,
-        deadline_ms=int(max(0.0, left_s) * 1000),
-        priority=asked.priority,
-        once_key=_scoped(asked) if asked.once_key else "",
-        offset=given.config.state.offset,
-        entry=given.settings.name,
-        stream=asked.is_model,
-        max_events=0,
-    )
-
-
-async def _pull_all(
-    asked: call.Call,
-    given: parts.Parts,
-    out: writer.Writer,
-    attempt: str,
-    name: str,
-    to: link.Link,
-) -> None:
-    """Pull an attempt's chunks until its end, as fast as the caller reads."""
-    whole = answer.Assembly(attempt=attempt)
-    while True:
-        await out.drained()
-        batch = await _pull(given, attempt, name, to, whole.seq)
-        fragment = answer.Fragment(
-            attempt=batch.attempt,
-            from_seq=batch.from_seq,
-            chunks=batch.chunks,
-            count=batch.count if batch.done and not batch.code else None,
-            digest=batch.digest,
-        )
-        dropped = whole.dropped
-        chunks = whole.add(fragment)
-        if whole.dropped > dropped:
-            given.metrics.dropped.add({}, whole.dropped - dropped)
-        if batch.status and not out.begun and not (batch.done and batch.code):
-            out.begin(batch.status, batch.headers)
-        if chunks:
-            _note_first_byte(asked, given)
-            out.write(chunks)
-        if whole.whole:
-            given.note_success(name)
-            out.finish()
-            return
-        if batch.done:
-            given.note_failure(name)
-            raise AttemptLostError(
-                batch.code or "not-whole",
-                peer=name,
-                not_run=batch.ran == KINDS.REFUSED,
-            )
-
-
-async def _pull(
-    given: parts.Parts, attempt: str, name: str, to: link.Link, seq: int
-) -> Any:
-    """Pull once; over a broken connection again, from where it stood."""
-    message = ttypes.Pull(attempt=attempt, from_seq=seq, max_bytes=PULL_BYTES)
-    started = given.clock.monotonic()
-    while True:
-        try:
-            return await to.call("pull", message, timeout_s=PULL_TIMEOUT_S)
-        except link.LinkError as lost:
-            late = given.clock.monotonic() > started + RELINK_S
-            if lost.refused or late:
-                given.note_failure(name)
-                raise AttemptLostError(
-                    "agent-lost", peer=name, not_run=False
-                ) from lost
-        await task.deferLater(given.reactor, RELINK_PAUSE_S)
-
-
-def _note_first_byte(asked: call.Call, given: parts.Parts) -> None:
-    if asked.first_byte_at is None:
-        asked.first_byte_at = given.clock.monotonic()
--- a/packages/reelscale-daemon/src/reelscale_daemon/operators.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/operators.py
@@ -92,7 +92,7 @@
         if getattr(request, "too_large", False):
             raise error.CodedError("body-too-large", step="plan", status=413)
         intent = schema.decode(request.content.read(), step="plan")
-        made = await self._intents.plan(intent, author)
+        made = await self._intents.make_plan(intent, author)
         return plan_document(made)
 
     async def _confirm(self, plan_id: str, author: str) -> dict[str, Any]:
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -73,6 +73,7 @@
   5: map<string, i32> wanted,  // Slots wanted of each upstream.
   6: i64 log_age_ms,       // Since the sender last heard from the log.
   7: string peer,          // Address for calls to the sender.
+  8: bool want_heat,       // Whether the answer is to carry heat.
 }
 
 struct Grant {
@@ -95,7 +96,7 @@
   11: double step_ms,
   12: string model_version,
   13: bool healthy,
-  14: list<i64> heat,      // Tokens seen by each expert, decayed.
+  14: list<i64> heat,      // If asked: tokens of each expert, decayed.
   15: i64 log_age_ms,
   16: string peer,
 }
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -764,11 +764,12 @@
      - wanted
      - log_age_ms
      - peer
+     - want_heat
 
     """
 
 
-    def __init__(self, name=None, incarnation=None, hall=None, offset=None, wanted=None, log_age_ms=None, peer=None,):
+    def __init__(self, name=None, incarnation=None, hall=None, offset=None, wanted=None, log_age_ms=None, peer=None, want_heat=None,):
         self.name = name
         self.incarnation = incarnation
         self.hall = hall
@@ -776,6 +777,7 @@
         self.wanted = wanted
         self.log_age_ms = log_age_ms
         self.peer = peer
+        self.want_heat = want_heat
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -827,6 +829,11 @@
                     self.peer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.want_heat = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -869,6 +876,10 @@
             oprot.writeFieldBegin('peer', TType.STRING, 7)
             oprot.writeString(self.peer.encode('utf-8') if sys.version_info[0] == 2 else self.peer)
             oprot.writeFieldEnd()
+        if self.want_heat is not None:
+            oprot.writeFieldBegin('want_heat', TType.BOOL, 8)
+            oprot.writeBool(self.want_heat)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1961,6 +1972,7 @@
     (5, TType.MAP, 'wanted', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
     (6, TType.I64, 'log_age_ms', None, None, ),  # 6
     (7, TType.STRING, 'peer', 'UTF8', None, ),  # 7
+    (8, TType.BOOL, 'want_heat', None, None, ),  # 8
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- /dev/null
+++ b/standins/process.py
@@ -0,0 +1,90 @@
+"""Processes of a cluster: started, killed, frozen and stopped."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import time
+from collections.abc import Callable
+from typing import Any
+
+POLL_S = 0.02
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that the system says is free."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(test: Callable[[], Any], what: str, seconds: float = 15.0) -> Any:
+    """Wait until a test gives something true.
+
+    Raises:
+      TimeoutError: It did not in time; names what was waited for.
+    """
+    end = time.monotonic() + seconds
+    while True:
+        found = test()
+        if found:
+            return found
+        if time.monotonic() > end:
+            raise TimeoutError(f"waited {seconds} s for {what}")
+        time.sleep(POLL_S)
+
+
+class Process:
+    """One process of the cluster."""
+
+    def __init__(
+        self, name: str, command: list[str], log: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.command = command
+        self.log = log
+        self.popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it, adding to its log."""
+        with self.log.open("ab") as out:
+            self.popen = subprocess.Popen(
+                self.command,
+                stdout=out,
+                stderr=out,
+                cwd=ROOT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if it runs."""
+        if self.running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill it at once, with nothing put in order."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop it in its tracks."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self, seconds: float = 20.0) -> int:
+        """Ask it to stop in order; return its exit status."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(seconds)
+
+    @property
+    def running(self) -> bool:
+        """Whether it runs."""
+        return self.popen is not None and self.popen.poll() is None
