Number a holder's orders across changes within one lease

Cause: reading the code as a newcomer: each change numbered its rounds from 1, while the fence stays the same as long as the lease is held, so ranks refused the first orders of a second change as old ones. They caught up after some ten rounds, so no promise was broken, only time lost.

Ruled out: claiming anew for each change, which costs an append for nothing.

Change: the number only rises in one process. New scenario: three changes in one lease, no order refused.

--- a/features/failure.feature
+++ b/features/failure.feature
@@ -13,6 +13,12 @@
       | engine | restarted              | lease_s      | 1     |
       | store  | slow                   | checks_fence | 0     |
 
+  Scenario: A holder that keeps its lease goes on numbering its orders
+    Given a cluster of its own with lease_s 30
+    When the layout changes 3 times in one lease
+    Then every rank ends on the last layout
+    And no agent refused an order
+
   Scenario: Streams go on at another upstream when one is killed
     Given a cluster of its own with services 0
     When 24 callers stream 200 tokens while an agent is killed
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -59,3 +59,20 @@
 @then("every rank ends on the last layout")
 def _(context):
     context.cluster.wait_layout(context.version, 40)
+
+
+@when("the layout changes {count:d} times in one lease")
+def _(context, count):
+    made = context.cluster
+    context.version = 1 + count
+    for number in range(count):
+        _change_layout(made, f"v{number + 2}")
+        made.wait_layout(2 + number, 40)
+
+
+@then("no agent refused an order")
+def _(context):
+    made = context.cluster
+    for name, _ in made.engines:
+        log = made.processes[name].log.read_text()
+        assert "Refused an order" not in log, log[-1500:]
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
@@ -69,6 +69,7 @@
         self._holder = f"{name}/{incarnation}"
         self._lease_s = lease_s
         self._held: lease.Held | None = None
+        self._seq = 0
         self._noticed_at: float | None = None
         self._busy = False
         self._stopped = False
@@ -170,9 +171,9 @@
         """Give orders, round after round, until all is as configured."""
         ranks: dict[str, lockstep.Rank] = {}
         said = ""
-        seq = 0
         while not self._stopped:
-            seq += 1
+            # One lease may serve several changes, so numbers only rise.
+            self._seq += 1
             group = self._config.state.groups_by_name.get(name)
             if group is None or not await self._claim(group):
                 return
@@ -180,7 +181,7 @@
             members = frozenset(self._members(group))
             wanted = group.layout.version
             plan = schedule.plan_round(
-                ranks, members, wanted=wanted, fence=held.fence, seq=seq
+                ranks, members, wanted=wanted, fence=held.fence, seq=self._seq
             )
             if plan.done:
                 LOG.info(
