Show a change of role by processes

Cause: a role was planned in a test but never confirmed, so nothing showed that the engine is ordered and requests stay away.

--- a/features/path.feature
+++ b/features/path.feature
@@ -61,3 +61,10 @@
   Scenario: Health and metrics are served by entries and agents
     Then every process answers livez, readyz and metrics
     And the metrics of an entry have histograms for workspace "acme"
+
+  Scenario: An upstream with another role gets no requests until it is back
+    When the operator gives the first engine the role "standby"
+    Then the engine has been ordered to the role "standby"
+    And 6 completions all go to other upstreams
+    When the operator gives the first engine the role "serve"
+    Then the engine has been ordered to the role "serve"
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -8,7 +8,7 @@
 import httpx
 from behave import then, when
 
-from standins import engine
+from standins import cluster, engine
 
 
 def _entry(context):
@@ -225,3 +225,39 @@
     wanted = "reelscale_request_seconds_bucket"
     lines = [row for row in text.splitlines() if row.startswith(wanted)]
     assert any(f'workspace="{name}"' in line for line in lines), text
+
+
+@when('the operator gives the first engine the role "{role}"')
+def _(context, role):
+    made = context.cluster
+    context.engine = made.engines[0][0]
+    change = {"kind": "set-role", "upstream": context.engine, "role": role}
+    made.wait_in_force(made.change([change]))
+
+
+@then('the engine has been ordered to the role "{role}"')
+def _(context, role):
+    made = context.cluster
+    url = f"{made.upstream_http[context.engine]}/ledger"
+
+    def ordered():
+        roles = [
+            order["role"]
+            for order in made.client.get(url).json()["orders"]
+            if order["kind"] == "role"
+        ]
+        return roles and roles[-1] == role
+
+    cluster.wait_for(ordered, f"an order to the role {role}")
+
+
+@then("{count:d} completions all go to other upstreams")
+def _(context, count):
+    made = context.cluster
+    for number in range(count):
+        answer = made.complete(_entry(context), f"role {number}")
+        request = answer.headers["reelscale-request-id"]
+        with made.operator() as operator:
+            row = operator.get(f"/explain/{request}").json()
+        assert row["outcome"] == "ran", row
+        assert not row["attempts"][0].startswith(context.engine), row
