--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 
 .PHONY: setup demo test test-processes lint bench soak generate
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -92,7 +92,7 @@
         change.PutWorkspace(
             workspace=model.Workspace(
                 name=f"workspace-{number}",
-                key_digest=model.digest_of_key(str(number)),
+                key_digests=(model.digest_of_key(str(number)),),
                 targets=tuple(f"model-{n}" for n in range(5)),
             )
         )
@@ -195,7 +195,7 @@
 
 
 def _one_change(number: int) -> record.PlanRecord:
-    put = model.Workspace(name=f"workspace-{number}", key_digest="0" * 64)
+    put = model.Workspace(name=f"workspace-{number}", key_digests=("0" * 64,))
     item = change.PutWorkspace(workspace=put)
     return record.PlanRecord(id="one", base=1, changes=(item,))
 
--- a/features/models/configlog.py
+++ b/features/models/configlog.py
@@ -82,7 +82,9 @@
         name = chooser.pick(NAMES)
         known = name in base.workspaces_by_name
         weight = float(len(self.plans) + 1)
-        put = model.Workspace(name=name, key_digest="0" * 64, weight=weight)
+        put = model.Workspace(
+            name=name, key_digests=("0" * 64,), weight=weight
+        )
         item: change.Change = change.PutWorkspace(workspace=put)
         if known and chooser.pick([False, False, True]):
             item = change.Remove(kind="workspace", name=name)
--- /dev/null
+++ b/features/platform_stop.feature
@@ -0,0 +1,31 @@
+Feature: An entry stops and reloads without cutting anything
+
+  Scenario: SIGTERM lets requests end and closes connections with answers
+    Given a fleet of its own
+    When an entry is told to stop during 6 streams and a kept connection
+    Then it is not ready at once
+    And every stream ends whole
+    And the kept connection is served once more and told to close
+    And the process ends by itself with status 0 within its grace time
+
+  Scenario: SIGTERM ends by the grace time, whatever goes on
+    Given a fleet of its own
+    When an entry is told to stop during a request that never ends
+    Then the process ends by itself with status 0 within its grace time
+
+  Scenario: SIGHUP cuts nothing
+    Given a fleet of its own
+    When an entry gets SIGHUP with a changed settings file during 6 streams
+    Then every stream ends whole
+    And its log names the settings that changed
+
+  Scenario: A bad settings file changes nothing
+    Given a fleet of its own
+    When an entry gets SIGHUP with a bad settings file
+    Then its log says what is bad and it serves on
+
+  Scenario: A stopping entry takes no new connections after a while
+    Given a fleet of its own
+    When an entry is told to stop during 6 streams and a kept connection
+    Then it refuses new connections before its streams have ended
+    And every stream ends whole
--- a/packages/reelscale-core/src/reelscale_core/fold.py
+++ b/packages/reelscale-core/src/reelscale_core/fold.py
@@ -11,7 +11,9 @@
 from collections.abc import Iterable
 from typing import Any
 
-from . import change, model, record
+import immutables
+
+from . import change, model, record, route
 from .state import Lease, Membership, State, Verdict
 
 # Plans and verdicts are forgotten after this many offsets, by every reader
@@ -96,10 +98,32 @@
             return _confirm(state, offset, plan)
         case record.LeaseRecord():
             return _lease(state, offset, item)
+        case record.WholeRecord():
+            return _whole(state, item)
         case _:
             return state
 
 
+def _whole(state: State, item: record.WholeRecord) -> State:
+    """Take a whole configuration, unless a newer one is in force."""
+    if item.version <= state.version:
+        return state
+    workspaces = [model.workspace(row) for row in item.workspaces]
+    services = [model.service(row) for row in item.services]
+    routes = [route.from_json(row) for row in item.routes]
+    return state._replace(
+        version=item.version,
+        workspaces_by_name=_by_name(workspaces),
+        services_by_name=_by_name(services),
+        routes_by_name=_by_name(routes),
+        limits=route.Limits(**item.limits),
+    )
+
+
+def _by_name(items: Iterable[Any]) -> immutables.Map:
+    return immutables.Map({item.name: item for item in items})
+
+
 def _confirm(state: State, offset: int, plan_id: str) -> State:
     """Judge a confirmation; only the first of a plan counts."""
     if plan_id in state.verdicts_by_id:
--- a/packages/reelscale-core/src/reelscale_core/model.py
+++ b/packages/reelscale-core/src/reelscale_core/model.py
@@ -14,7 +14,7 @@
 
     Attributes:
       name: Unique name.
-      key_digest: SHA-256, hex, of the bearer key; never the key itself.
+      key_digests: SHA-256, hex, of its bearer keys; never a key itself.
       targets: Names of the groups and services it may call.
       weight: Share of capacity relative to other workspaces.
       max_running: Requests it may have in progress at one entry.
@@ -22,7 +22,7 @@
     """
 
     name: str
-    key_digest: str
+    key_digests: tuple[str, ...]
     targets: tuple[str, ...] = ()
     weight: float = 1.0
     max_running: int = 64
@@ -35,10 +35,13 @@
     Attributes:
       name: Unique name.
       once_paths: Path prefixes whose calls must not be repeated.
+      max_connections: Most connections that one of its upstreams takes
+        from all callers together, 0 if that is not known.
     """
 
     name: str
     once_paths: tuple[str, ...] = ()
+    max_connections: int = 0
 
 
 class Layout(NamedTuple):
@@ -119,8 +122,12 @@
 def workspace(data: dict[str, Any]) -> Workspace:
     """Build a Workspace from checked JSON data."""
     data = dict(data)
+    digests = list(data.pop("key_digests", ()))
+    if "key_digest" in data:
+        digests.append(data.pop("key_digest"))
     if "key" in data:
-        data["key_digest"] = digest_of_key(data.pop("key"))
+        digests.append(digest_of_key(data.pop("key")))
+    data["key_digests"] = tuple(digests)
     data["targets"] = tuple(data.get("targets", ()))
     return Workspace(**data)
 
@@ -128,7 +135,8 @@
 def service(data: dict[str, Any]) -> Service:
     """Build a Service from checked JSON data."""
     paths = tuple(data.get("once_paths", ()))
-    return Service(name=data["name"], once_paths=paths)
+    most = data.get("max_connections", 0)
+    return Service(name=data["name"], once_paths=paths, max_connections=most)
 
 
 def layout(data: dict[str, Any]) -> Layout:
--- a/packages/reelscale-core/src/reelscale_core/record.py
+++ b/packages/reelscale-core/src/reelscale_core/record.py
@@ -78,7 +78,30 @@
     data: str
 
 
-Record = PlanRecord | ConfirmRecord | LeaseRecord | SnapshotRecord
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WholeRecord:
+    """A whole configuration, accepted already, in place of the one before.
+
+    Written where operators state all they want at once instead of intents.
+
+    Attributes:
+      version: Rises with every one; a lower one is not taken.
+      workspaces: Workspaces as JSON data.
+      services: Plain services as JSON data.
+      routes: Routes as JSON data.
+      limits: Fields of route.Limits.
+    """
+
+    version: int
+    workspaces: list[dict[str, Any]]
+    services: list[dict[str, Any]]
+    routes: list[dict[str, Any]]
+    limits: dict[str, Any]
+
+
+Record = (
+    PlanRecord | ConfirmRecord | LeaseRecord | SnapshotRecord | WholeRecord
+)
 
 
 def to_json(record: Record) -> dict[str, Any]:
@@ -100,6 +123,8 @@
             return {"kind": "lease", **dataclasses.asdict(record)}
         case SnapshotRecord():
             return {"kind": "snapshot", **dataclasses.asdict(record)}
+        case WholeRecord():
+            return {"kind": "whole", **dataclasses.asdict(record)}
 
 
 def from_json(data: Any) -> Record | None:
@@ -131,6 +156,8 @@
             return LeaseRecord(**rest)
         case "snapshot":
             return SnapshotRecord(**rest)
+        case "whole":
+            return WholeRecord(**rest)
     return None
 
 
--- a/packages/reelscale-core/src/reelscale_core/retry.py
+++ b/packages/reelscale-core/src/reelscale_core/retry.py
@@ -24,9 +24,9 @@
     left: float = INITIAL
 
 
-def deposit(budget: Budget) -> Budget:
-    """Note a first attempt."""
-    return Budget(min(budget.left + RATIO, INITIAL))
+def deposit(budget: Budget, ratio: float = RATIO) -> Budget:
+    """Note a first attempt, which pays for a part of a retry."""
+    return Budget(min(budget.left + ratio, INITIAL))
 
 
 def withdraw(budget: Budget) -> Budget | None:
@@ -37,7 +37,12 @@
 
 
 def worth(
-    *, attempts: int, not_run: bool, repeatable: bool, left_s: float
+    *,
+    attempts: int,
+    not_run: bool,
+    repeatable: bool,
+    left_s: float,
+    most: int = MOST_ATTEMPTS,
 ) -> bool:
     """Tell whether a failed attempt may be followed by another.
 
@@ -46,7 +51,8 @@
       not_run: Whether the failed attempt is proved not to have run.
       repeatable: Whether running the request twice does no harm.
       left_s: Seconds left until the caller's deadline.
+      most: Attempts that may be made in all.
     """
-    if attempts >= MOST_ATTEMPTS or left_s < LEAST_LEFT_S:
+    if attempts >= most or left_s < LEAST_LEFT_S:
         return False
     return not_run or repeatable
--- a/packages/reelscale-core/src/reelscale_core/settings.py
+++ b/packages/reelscale-core/src/reelscale_core/settings.py
@@ -25,8 +25,13 @@
 
 
 class Settings(NamedTuple):
-    """What a process is told; the schema describes each."""
+    """What a process is told; the schema describes each but path.
 
+    Attributes:
+      path: The file that they were read from.
+    """
+
+    path: str
     name: str
     hall: str
     peer: str
@@ -47,6 +52,10 @@
     lease: timedelta
     stop_wait: timedelta
     snapshot_every: int
+    adapter: str
+    health: str
+    grace: timedelta
+    retry_ratio: float
     log_json: bool
     test_controls: bool
 
@@ -64,16 +73,18 @@
         raise error.CodedError(
             "no-settings", step="settings", peer=path, detail=str(bad)
         ) from bad
-    return parse(schema.decode(text, step="settings"), role=role)
+    document = schema.decode(text, step="settings")
+    return parse(document, role=role, path=path)
 
 
-def parse(document: Any, *, role: str) -> Settings:
+def parse(document: Any, *, role: str, path: str = "") -> Settings:
     """Check a decoded document and fill in what it leaves out."""
     found = list(schema.faults(document, SCHEMA))
     if isinstance(document, dict):
         if role == "agent" and "engine" not in document:
             found.append(error.Fault("/engine", "the URL of the upstream"))
-        if role == "entry" and not document.get("operators"):
+        own = not document.get("adapter")
+        if role == "entry" and own and not document.get("operators"):
             found.append(error.Fault("/operators", "at least one operator"))
     if found:
         raise error.CodedError(
@@ -82,15 +93,15 @@
             detail=f"{len(found)} fault(s) in the settings",
             faults=tuple(found),
         )
-    return _build(document)
+    return _build(document, path)
 
 
-def _build(document: dict[str, Any]) -> Settings:
+def _build(document: dict[str, Any], path: str) -> Settings:
     rules = SCHEMA["properties"]
     data = {key: rule.get("default", "") for key, rule in rules.items()}
     data.update(document)
-    for name in ("deadline", "heartbeat", "lease", "stop_wait"):
+    for name in ("deadline", "heartbeat", "lease", "stop_wait", "grace"):
         data[name] = timedelta(seconds=data.pop(f"{name}_s"))
     data["peers"] = tuple(data["peers"])
     data["operators"] = tuple(Operator(**row) for row in data["operators"])
-    return Settings(**data)
+    return Settings(path=path, **data)
--- a/packages/reelscale-core/src/reelscale_core/state.py
+++ b/packages/reelscale-core/src/reelscale_core/state.py
@@ -10,7 +10,7 @@
 import immutables
 import orjson
 
-from . import model, record
+from . import model, record, route
 
 
 class Verdict(NamedTuple):
@@ -81,6 +81,10 @@
       verdicts_by_id: Verdicts by plan id.
       leases_by_name: Newest accepted claim by name.
       members_by_target: Memberships of each target, oldest first.
+      routes_by_name: Routes by host and path.
+      version: Number that the operators gave the configuration, where
+        they state it whole.
+      limits: What callers may send.
     """
 
     offset: int = -1
@@ -93,6 +97,9 @@
     verdicts_by_id: immutables.Map = EMPTY
     leases_by_name: immutables.Map = EMPTY
     members_by_target: immutables.Map = EMPTY
+    routes_by_name: immutables.Map = EMPTY
+    version: int = 0
+    limits: route.Limits = route.Limits()
 
 
 def dump(state: State) -> str:
@@ -106,7 +113,9 @@
     The first line holds the offset; each other the name of a field and
     some of its rows, in the order of their keys.
     """
-    lines = [orjson.dumps({"offset": state.offset})]
+    first = {"offset": state.offset, "version": state.version}
+    first["limits"] = state.limits._asdict()
+    lines = [orjson.dumps(first)]
     for field, (turn, _) in _TURNS.items():
         rows = getattr(state, field)
         keys = sorted(rows)
@@ -131,7 +140,7 @@
 def load_slices(text: str) -> Slices[State]:
     """Load a state a little at a time; see Slices."""
     first, *lines = text.split("\n")
-    state = State(offset=orjson.loads(first)["offset"])
+    state = _head(orjson.loads(first))
     for line in lines:
         data = orjson.loads(line)
         field = data["of"]
@@ -143,6 +152,13 @@
     return state
 
 
+def _head(data: dict[str, Any]) -> State:
+    """Build a state without its tables from the first line of a dump."""
+    limits = route.Limits(**data.get("limits", {}))
+    version = data.get("version", 0)
+    return State(offset=data["offset"], version=version, limits=limits)
+
+
 def run(slices: Slices[Result]) -> Result:
     """Run slices to their end at once."""
     while True:
@@ -190,4 +206,5 @@
     "verdicts_by_id": (_same, lambda row: Verdict(*row)),
     "leases_by_name": (_same, lambda row: Lease(*row)),
     "members_by_target": (_same, _memberships),
+    "routes_by_name": (route.to_json, route.from_json),
 }
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -0,0 +1,147 @@
+"""What an entry needs of the surroundings it runs in, as interfaces.
+
+An adapter translates between these and the protocols of one platform.
+Decisions, state and recovery stay on this side.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any, NamedTuple, Protocol
+
+from reelscale_core import announcement, clock, error, settings
+
+from ..exchange import connection, pool
+from ..filters import call
+
+
+class Rows(NamedTuple):
+    """What a read of the log gave.
+
+    Attributes:
+      rows: (offset, data) pairs in offset order.
+      oldest: Lowest offset that is needed and that the log still keeps.
+      head: Offset that the next record will get.
+    """
+
+    rows: list[tuple[int, Any]]
+    oldest: int
+    head: int
+
+
+class Source(Protocol):
+    """The log that the configuration is folded from."""
+
+    async def read(self, from_offset: int, *, wait_s: float) -> Rows:
+        """Read records, waiting for the first; CodedError "log-down"."""
+        ...
+
+    async def append(self, records: list[dict[str, Any]]) -> int:
+        """Append records; return the offset of the first."""
+        ...
+
+
+class RosterPage(NamedTuple):
+    """A part of the list of upstreams.
+
+    Attributes:
+      items: What has changed, in order.
+      next_offset: Where to read on.
+      whole: Whether items are all there is, so that others are gone.
+    """
+
+    items: list[announcement.Announcement | announcement.Withdrawn]
+    next_offset: int
+    whole: bool = False
+
+
+class Roster(Protocol):
+    """The platform's list of upstreams."""
+
+    async def read(self, from_offset: int, *, wait_s: float) -> RosterPage:
+        """Read changes from an offset on; CodedError "log-down"."""
+        ...
+
+
+class Answered(NamedTuple):
+    """The head of an upstream's answer, in our terms.
+
+    Attributes:
+      status: HTTP status.
+      headers: Those that go on to the caller.
+      request_id: Id of the request that it answers, "" if not told.
+      not_run: Whether the upstream states that it did not run it.
+      retry_after_s: When the upstream asks to be tried again, if it does.
+      load: How busy the upstream is, if it told.
+      leaving: Whether it closes this connection.
+    """
+
+    status: int
+    headers: connection.Headers
+    request_id: str
+    not_run: bool
+    retry_after_s: float | None = None
+    load: announcement.Load | None = None
+
+
+class Dialect(Protocol):
+    """What upstreams speak."""
+
+    def request(
+        self,
+        asked: call.Call,
+        to: announcement.Announcement,
+        *,
+        left_s: float,
+        resume_after: int | None,
+    ) -> connection.Request:
+        """Return a caller's request as one upstream takes it."""
+        ...
+
+    def answer(self, head: connection.Head) -> Answered:
+        """Read the head of an upstream's answer."""
+        ...
+
+
+class Surface(Protocol):
+    """What callers speak.
+
+    Attributes:
+      ready_path: Path at which the balancer in front asks for readiness.
+    """
+
+    ready_path: bytes
+
+    def call(self, request: Any, now: float) -> call.Call:
+        """Read a caller's request; CodedError if it is none."""
+        ...
+
+    def refuse(
+        self, request: Any, problem: error.CodedError, *, request_id: str
+    ) -> None:
+        """Answer a request with an error, now."""
+        ...
+
+
+class Adapter(NamedTuple):
+    """All that an entry needs of one platform."""
+
+    source: Source
+    roster: Roster
+    dialect: Dialect
+    surface: Surface
+
+
+class Maker(Protocol):
+    """Makes the adapter of a platform; a function of its package."""
+
+    def __call__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        settings: settings.Settings,
+        connections: pool.Pool,
+    ) -> Adapter:
+        """Make the adapter."""
+        ...
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/platform.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/platform.py
@@ -7,28 +7,25 @@
 
 import orjson
 import treq
-from reelscale_core import error
+from reelscale_core import clock, error, settings
 from twisted.web import client
 
-# Seconds for which a read waits at the log for something new.
-POLL_S = 10.0
+from .. import process
+from . import base
+
 READ_LIMIT = 2000
 # An answer that takes longer counts as lost.
 TIMEOUT_S = 3.0
 
 
-class Rows(NamedTuple):
-    """What a read of the log gave.
-
-    Attributes:
-      rows: (offset, data) pairs in offset order.
-      oldest: Lowest offset that the log still keeps.
-      head: Offset that the next record will get.
-    """
-
-    rows: list[tuple[int, Any]]
-    oldest: int
-    head: int
+def make_base(*, reactor: Any, settings: settings.Settings) -> process.Base:
+    """Return the base of a process that meets this platform."""
+    return process.Base(
+        reactor=reactor,
+        settings=settings,
+        platform=Platform(reactor=reactor, url=settings.platform),
+        clock=clock.SystemClock(),
+    )
 
 
 class Box(NamedTuple):
@@ -73,7 +70,7 @@
         data = await self._ask("append", "POST", "/log/records", body=body)
         return data["offset"]
 
-    async def read(self, from_offset: int, *, wait_s: float) -> Rows:
+    async def read(self, from_offset: int, *, wait_s: float) -> base.Rows:
         """Read records from an offset on, waiting for the first.
 
         Raises:
@@ -87,7 +84,7 @@
             timeout_s=TIMEOUT_S + wait_s,
         )
         rows = [(row[0], row[1]) for row in data["records"]]
-        return Rows(rows, data["oldest"], data["head"])
+        return base.Rows(rows, data["oldest"], data["head"])
 
     async def boxes(self) -> list[Box]:
         """Read the list of boxes, which may be old.
--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -19,6 +19,7 @@
 
 from . import health, logs, metrics, process
 from .adapters import engine as engines
+from .adapters import platform
 from .adapters import upstream as upstreams
 from .controllers import keys, layout, orders, streams
 
@@ -42,7 +43,7 @@
 
     def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
         self.settings = settings
-        self._base = process.Base(reactor=reactor, settings=settings)
+        self._base = platform.make_base(reactor=reactor, settings=settings)
         base = self._base
         self._metrics = metrics.Metrics()
         self._upstream = upstreams.Upstream(
--- a/packages/reelscale-daemon/src/reelscale_daemon/callers.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/callers.py
@@ -5,12 +5,14 @@
 
 from typing import Any
 
-from reelscale_core import error
+from reelscale_core import error, settings
 from twisted.internet import defer
 from twisted.python import failure
 from twisted.web import http, resource, server
 
-from . import logs, problem
+from . import logs
+from . import problem as problems
+from .adapters import base
 from .filters import call, chain, parts, writer
 
 LOG = logs.Part("callers")
@@ -22,37 +24,23 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, *, given: parts.Parts) -> None:
+    def __init__(self, *, given: parts.Parts, surface: base.Surface) -> None:
         super().__init__()
         self._given = given
+        self._surface = surface
 
     def render(self, request: Any) -> int:
         """Start a request; its answer comes later."""
-        asked = self._call(request)
+        try:
+            asked = self._surface.call(request, self._given.clock.monotonic())
+        except error.CodedError as bad:
+            self._surface.refuse(request, bad, request_id="")
+            return server.NOT_DONE_YET
         request.notifyFinish().addErrback(_left, asked)
         done = defer.ensureDeferred(self._serve(asked))
         done.addErrback(self._bug, asked)
         return server.NOT_DONE_YET
 
-    def _call(self, request: Any) -> call.Call:
-        now = self._given.clock.monotonic()
-        return call.Call(
-            http=request,
-            id=self._given.next_id(),
-            arrived_at=now,
-            deadline=now + self._deadline_s(request),
-        )
-
-    def _deadline_s(self, request: Any) -> float:
-        """Return the time in which a request must have started."""
-        default = self._given.settings.deadline.total_seconds()
-        header = request.getHeader("x-request-timeout")
-        try:
-            asked_s = float(header) if header else default
-        except ValueError:
-            return default
-        return min(max(asked_s, 0.0), LONGEST_DEADLINE_S)
-
     async def _serve(self, asked: call.Call) -> None:
         try:
             if getattr(asked.http, "too_large", False):
@@ -63,7 +51,7 @@
         except error.CodedError as refused:
             asked.outcome, asked.code = refused.outcome, refused.code
             if not asked.left:
-                problem.write(asked.http, refused, asked.id)
+                self._surface.refuse(asked.http, refused, request_id=asked.id)
         except writer.BrokenError as broken:
             asked.code = broken.code
             _break_off(asked, broken)
@@ -103,11 +91,48 @@
                 status=500,
                 outcome=error.OUTCOME_UNKNOWN,
             )
-            problem.write(asked.http, fault, asked.id)
+            self._surface.refuse(asked.http, fault, request_id=asked.id)
         elif not asked.left:
             asked.http.channel.forceAbortClient()
 
 
+class OwnSurface:
+    """What callers speak to us where no platform has a say in it."""
+
+    ready_path = b"/readyz"
+
+    def __init__(
+        self, *, settings: settings.Settings, given: parts.Parts
+    ) -> None:
+        self._settings = settings
+        self._given = given
+
+    def call(self, request: Any, now: float) -> call.Call:
+        """Read a request; the filters read its path and body."""
+        return call.Call(
+            http=request,
+            id=self._given.next_id(),
+            arrived_at=now,
+            deadline=now + self._deadline_s(request),
+        )
+
+    def refuse(
+        self, request: Any, problem: error.CodedError, *, request_id: str
+    ) -> None:
+        """Answer with a problem document."""
+        problems.write(request, problem, request_id)
+
+    def _deadline_s(self, request: Any) -> float:
+        """Return the time in which a request must have started."""
+        default = self._settings.deadline.total_seconds()
+        header = request.getHeader("x-request-timeout")
+        try:
+            asked_s = float(header) if header else default
+        except ValueError:
+            return default
+        return min(max(asked_s, 0.0), LONGEST_DEADLINE_S)
+
+
 def _left(_: Any, asked: call.Call) -> None:
     """Note that a caller has gone before its answer was whole."""
     asked.left = True
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -19,10 +19,15 @@
 from twisted.internet import defer, task
 
 from .. import logs, slices
-from ..adapters import platform
+from ..adapters import base
 
 LOG = logs.Part("config")
 RETRY_S = 0.25
+# Seconds for which a read waits at the log for something new.  An answer
+# that is lost makes a process deaf for this long and the client's margin of
+# a second more, which must be less than the 5 s in which a configuration is
+# in force everywhere.
+POLL_S = 3.0
 PEER_TIMEOUT_S = 2.0
 # Peers asked for their state at a time, so that an outage is no storm.
 PEERS_ASKED = 3
@@ -38,11 +43,11 @@
         *,
         reactor: Any,
         clock: clock.Clock,
-        platform: platform.Platform,
+        platform: base.Source,
         links: link.Links,
         peers: tuple[str, ...],
         snapshot_every: int,
-        poll_s: float = platform.POLL_S,
+        poll_s: float = POLL_S,
     ) -> None:
         self.state = states.State()
         self.ready = False
@@ -164,7 +169,7 @@
             self.gap = False
         await self._maybe_snapshot(got.oldest)
 
-    async def _jump(self, got: platform.Rows) -> None:
+    async def _jump(self, got: base.Rows) -> None:
         """Get over records that the log no longer keeps."""
         rows: list[tuple[int, Any]] = []
         at = got.oldest
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
@@ -161,6 +161,14 @@
             and view.upstream.role == "serve"
         ]
 
+    def reachable(self, target: str) -> bool:
+        """Tell whether any upstream of a target grants anything."""
+        now = self._clock.monotonic()
+        return any(
+            now < item.until and item.slots > 0
+            for item in self.candidates(target)
+        )
+
     def away(self, name: str) -> bool:
         """Tell whether an upstream is known to take nothing new now."""
         view = self.views_by_name.get(name)
--- a/packages/reelscale-daemon/src/reelscale_daemon/entry.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/entry.py
@@ -13,11 +13,19 @@
 from zope.interface import implementer
 
 from . import callers, health, logs, metrics, operators, process
+from .adapters import platform
 from .controllers import intents, membership
-from .filters import parts
+from .filters import admit, attempt, classify, identify, limit, parts, relay
 
 LOG = logs.Part("entry")
 STOP_POLL_S = 0.05
+CHAIN = (
+    identify.identify,
+    classify.classify,
+    limit.limit,
+    admit.admit,
+    relay.relay,
+)
 
 
 @implementer(Peer.Iface)
@@ -26,7 +34,7 @@
 
     def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
         self.settings = settings
-        self._base = process.Base(reactor=reactor, settings=settings)
+        self._base = platform.make_base(reactor=reactor, settings=settings)
         base = self._base
         self._metrics = metrics.Metrics()
         self._membership = membership.Membership(
@@ -51,6 +59,8 @@
             membership=self._membership,
             metrics=self._metrics,
             incarnation=base.incarnation,
+            chain=CHAIN,
+            send=attempt.run,
         )
         self._intents = intents.Intents(
             reactor=reactor,
@@ -110,7 +120,8 @@
     def _root(self) -> resource.Resource:
         base = self._base
         root = resource.Resource()
-        asked = callers.Callers(given=self._parts)
+        own = callers.OwnSurface(settings=self.settings, given=self._parts)
+        asked = callers.Callers(given=self._parts, surface=own)
         root.putChild(b"v1", asked)
         root.putChild(b"services", asked)
         root.putChild(b"operator", self._operators())
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -0,0 +1,277 @@
+"""One HTTP/1.1 connection to another process, one request at a time.
+
+Framing is h11's; what this module adds is what a balancer must know of a
+broken exchange: whether anything was written, and whether an answer that
+ended was whole.  A connection on which anything unexpected arrives is never
+used again.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import collections
+import re
+import socket
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+import h11
+from twisted.internet import defer, error, protocol
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+# An answer that is read slower than it comes is held up to this many bytes
+# before the sender is paused.
+HELD_BYTES = 64 * 1024
+# A peer that says nothing of how long it keeps an idle connection is taken
+# to keep it this long, in seconds; engines commonly keep them 5 s or more.
+DEFAULT_KEPT_S = 4.0
+# An idle connection is not used in the last part of the time its peer keeps
+# it, in seconds: the peer's close may already be on its way.
+KEPT_MARGIN_S = 0.5
+# Bytes that were sent and not acknowledged for this many milliseconds end
+# the connection, so that a peer without power is noticed.
+UNACKNOWLEDGED_MS = 3000
+# Probes of a silent connection: after this many seconds, this often.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES = 3
+_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
+class Request(NamedTuple):
+    """A request to send.
+
+    Attributes:
+      method: HTTP method.
+      path: Path and query, as bytes on the wire.
+      headers: Without those of the connection; "Host" must be among them.
+      body: The whole body.
+    """
+
+    method: bytes
+    path: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer.
+
+    Attributes:
+      status: HTTP status.
+      headers: Names as the peer spelled them, with their values.
+    """
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, None if there is none."""
+        wanted = name.lower()
+        for found, value in self.headers:
+            if found.lower() == wanted:
+                return value
+        return None
+
+
+class ExchangeError(Exception):
+    """An exchange failed.
+
+    Attributes:
+      code: "unreachable", "lost" or "garbled".
+      peer: Address of the peer.
+      written: False if it is proved that the peer got nothing of it.
+    """
+
+    def __init__(self, code: str, *, peer: str, written: bool) -> None:
+        super().__init__(f"{code} at {peer}, written: {written}")
+        self.code = code
+        self.peer = peer
+        self.written = written
+
+
+class Connection(protocol.Protocol):
+    """A connection; made by a pool, used by one exchange at a time.
+
+    Attributes:
+      address: "ip:port" of the peer.
+      idle_since: Monotonic seconds at which it was last given back.
+      kept_s: How long the peer keeps it when idle, in seconds.
+      used: Exchanges that were begun on it.
+    """
+
+    def __init__(
+        self, *, address: str, on_lost: Callable[["Connection"], None]
+    ) -> None:
+        self.address = address
+        self.idle_since = 0.0
+        self.kept_s = DEFAULT_KEPT_S
+        self.used = 0
+        self._on_lost = on_lost
+        self._http = h11.Connection(h11.CLIENT)
+        self._busy = False
+        self._lost: ExchangeError | None = None
+        self._events: collections.deque[Any] = collections.deque()
+        self._held = 0
+        self._paused = False
+        self._waiter: defer.Deferred | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send without delay, and notice a peer without power."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        handle = self.transport.getHandle()
+        for option, value in (
+            (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+            (socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+            (socket.TCP_KEEPINTVL, PROBE_EVERY_S),
+            (socket.TCP_KEEPCNT, PROBES),
+        ):
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+    @property
+    def usable(self) -> bool:
+        """Whether another exchange may begin on it."""
+        return not self._busy and self._lost is None
+
+    def send(self, request: Request) -> None:
+        """Write a request; its answer is read by head() and chunk()."""
+        self._busy = True
+        self.used += 1
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            size = b"%d" % len(request.body)
+            headers.append((b"Content-Length", size))
+        head = h11.Request(
+            method=request.method, target=request.path, headers=headers
+        )
+        data = self._http.send(head) or b""
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self.transport.write(data)
+
+    async def head(self) -> Head:
+        """Read the head of the answer.
+
+        Raises:
+          ExchangeError: There is none, or it is none of HTTP.
+        """
+        event = await self._next()
+        if not isinstance(event, h11.Response):
+            raise self._garbled()
+        found = Head(event.status_code, event.headers.raw_items())
+        self._note_kept(found)
+        return found
+
+    async def chunk(self) -> bytes | None:
+        """Read the next piece of the answer's body; None at its end.
+
+        Raises:
+          ExchangeError: It ended before it was whole.
+        """
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            self._took(len(event.data))
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._finish()
+            return None
+        raise self._garbled()
+
+    def abort(self) -> None:
+        """Close at once; the peer sees that its caller has gone."""
+        if self._lost is None:
+            self._fail("lost")
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes; those that nothing asked for end the connection."""
+        if self._lost is not None:
+            return
+        if not self._busy:
+            self.abort()
+            return
+        self._feed(data)
+
+    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
+        """Note the end; a clean one may end an answer without length."""
+        if self._lost is None and reason.check(error.ConnectionDone):
+            self._feed(b"")
+        if self._lost is None:
+            self._fail("lost")
+        self._on_lost(self)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError:
+            self._fail("garbled")
+            if self.transport is not None:
+                self.transport.abortConnection()
+
+    def _read_events(self) -> None:
+        while True:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                break
+            if isinstance(event, h11.ConnectionClosed):
+                break
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            self._events.append(event)
+            if isinstance(event, h11.Data):
+                self._held += len(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                break
+        if self._held > HELD_BYTES and not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+        self._wake()
+
+    def _took(self, size: int) -> None:
+        self._held -= size
+        if self._paused and self._held <= HELD_BYTES // 2:
+            self._paused = False
+            self.transport.resumeProducing()
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.called:
+            waiter.callback(None)
+
+    async def _next(self) -> Any:
+        while not self._events:
+            if self._lost is not None:
+                raise self._lost
+            self._waiter = defer.Deferred()
+            await self._waiter
+        return self._events.popleft()
+
+    def _finish(self) -> None:
+        """Get ready for another exchange, or close."""
+        self._busy = False
+        surplus, closed = self._http.trailing_data
+        done = self._http.their_state is h11.DONE
+        done = done and self._http.our_state is h11.DONE
+        if not done or surplus or closed or self._lost is not None:
+            self.abort()
+            return
+        self._http.start_next_cycle()
+
+    def _note_kept(self, head: Head) -> None:
+        header = head.get(b"keep-alive")
+        found = _TIMEOUT.search(header) if header else None
+        if found:
+            self.kept_s = float(found.group(1))
+
+    def _fail(self, code: str) -> None:
+        self._lost = ExchangeError(code, peer=self.address, written=self._busy)
+        self._wake()
+
+    def _garbled(self) -> ExchangeError:
+        self.abort()
+        return ExchangeError("garbled", peer=self.address, written=True)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/fetch.py
@@ -0,0 +1,72 @@
+"""Small requests of this process's own: one call, one whole answer."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any, NamedTuple
+
+from twisted.internet import defer
+
+from . import connection, pool
+
+# The largest answer that is taken, in bytes; a page of the log is 1 MB.
+LARGEST = 8 << 20
+
+
+class Fetched(NamedTuple):
+    """A whole answer.
+
+    Attributes:
+      head: Its status and headers.
+      body: Its body.
+    """
+
+    head: connection.Head
+    body: bytes
+
+
+async def fetch(
+    connections: pool.Pool,
+    address: str,
+    request: connection.Request,
+    *,
+    reactor: Any,
+    timeout_s: float,
+) -> Fetched:
+    """Send a request and read its whole answer.
+
+    A request on a kept connection that breaks without an answer is not sent
+    again: the caller knows whether it may be.
+
+    Raises:
+      ExchangeError: No whole answer came; "timeout" after timeout_s.
+    """
+    used: list[connection.Connection] = []
+
+    async def run() -> Fetched:
+        conn = await connections.acquire(address)
+        used.append(conn)
+        conn.send(request)
+        head = await conn.head()
+        body = bytearray()
+        while (piece := await conn.chunk()) is not None:
+            body += piece
+            if len(body) > LARGEST:
+                raise connection.ExchangeError(
+                    "too-large", peer=address, written=True
+                )
+        connections.release(conn)
+        return Fetched(head, bytes(body))
+
+    asked = defer.ensureDeferred(run())
+    asked.addTimeout(timeout_s, reactor)
+    try:
+        return await asked
+    except (defer.TimeoutError, defer.CancelledError) as late:
+        raise connection.ExchangeError(
+            "timeout", peer=address, written=bool(used)
+        ) from late
+    finally:
+        for conn in used:
+            if not conn.usable:
+                conn.abort()
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
@@ -0,0 +1,113 @@
+"""Connections to other processes, kept and used again."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any
+
+from reelscale_core import clock
+from twisted.internet import endpoints
+
+from . import connection
+
+# A peer in the same region that does not accept within this time, in
+# seconds, is taken as out of reach; a lost opening packet costs one second.
+CONNECT_TIMEOUT_S = 1.5
+
+
+class Pool:
+    """The connections of one process, by the address of the peer."""
+
+    def __init__(self, *, reactor: Any, clock: clock.Clock) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._idle_by_address: dict[str, list[connection.Connection]] = {}
+        self.open_by_address: dict[str, int] = {}
+        self.opened = 0
+
+    async def acquire(
+        self,
+        address: str,
+        *,
+        idle_most_s: float | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> connection.Connection:
+        """Return a connection for one exchange, opened if none is idle.
+
+        Args:
+          address: "ip:port" of the peer.
+          idle_most_s: Take no connection that was idle for longer.
+          connect_timeout_s: How long opening one may take.
+
+        Raises:
+          ExchangeError: "unreachable"; the peer got nothing.
+        """
+        kept = self._take_idle(address, idle_most_s)
+        if kept is not None:
+            return kept
+        return await self._open(address, connect_timeout_s)
+
+    def release(self, used: connection.Connection) -> None:
+        """Give a connection back; one that is of no use is forgotten."""
+        if not used.usable:
+            return
+        used.idle_since = self._clock.monotonic()
+        self._idle_by_address.setdefault(used.address, []).append(used)
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to a peer, as when it leaves."""
+        for item in self._idle_by_address.pop(address, []):
+            item.abort()
+
+    def _take_idle(
+        self, address: str, idle_most_s: float | None
+    ) -> connection.Connection | None:
+        """Return the idle connection that was used last, if one is fit."""
+        idle = self._idle_by_address.get(address, [])
+        now = self._clock.monotonic()
+        while idle:
+            found = idle.pop()
+            idle_s = now - found.idle_since
+            kept_s = found.kept_s - connection.KEPT_MARGIN_S
+            if idle_most_s is not None:
+                kept_s = min(kept_s, idle_most_s)
+            if found.usable and idle_s < kept_s:
+                return found
+            found.abort()
+        return None
+
+    async def _open(
+        self, address: str, timeout_s: float
+    ) -> connection.Connection:
+        host, port = address.rsplit(":", 1)
+        point = endpoints.TCP4ClientEndpoint(
+            self._reactor, host, int(port), timeout=timeout_s
+        )
+        made = connection.Connection(address=address, on_lost=self._lost)
+        self.open_by_address[address] = self.count(address) + 1
+        try:
+            await endpoints.connectProtocol(point, made)
+        except Exception as failed:
+            self._count_down(address)
+            raise connection.ExchangeError(
+                "unreachable", peer=address, written=False
+            ) from failed
+        self.opened += 1
+        return made
+
+    def count(self, address: str) -> int:
+        """Return how many connections to a peer are open or opening."""
+        return self.open_by_address.get(address, 0)
+
+    def _lost(self, gone: connection.Connection) -> None:
+        self._count_down(gone.address)
+        idle = self._idle_by_address.get(gone.address, [])
+        if gone in idle:
+            idle.remove(gone)
+
+    def _count_down(self, address: str) -> None:
+        left = self.count(address) - 1
+        if left > 0:
+            self.open_by_address[address] = left
+        else:
+            self.open_by_address.pop(address, None)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
@@ -3,7 +3,8 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, NamedTuple
 
 from reelscale_core import answer, once
 from reelscale_core import state as states
@@ -23,6 +24,20 @@
 KINDS = ttypes.VerdictKind
 
 
+class KeptAnswer(NamedTuple):
+    """A whole answer that has not gone to the caller yet.
+
+    Attributes:
+      status: HTTP status.
+      headers: Headers that go on.
+      body: The body.
+    """
+
+    status: int
+    headers: Sequence[Any]
+    body: bytes
+
+
 class AttemptLostError(Exception):
     """An attempt came to nothing, or broke midway.
 
@@ -31,6 +46,8 @@
       peer: The upstream.
       not_run: Whether it is proved that the upstream did not run it.
       retry_after_s: When the upstream asks to be tried again.
+      answer: The upstream's own failure, for the caller if no other
+        upstream is tried.
     """
 
     def __init__(
@@ -40,12 +57,14 @@
         peer: str,
         not_run: bool,
         retry_after_s: float | None = None,
+        answer: KeptAnswer | None = None,
     ) -> None:
         super().__init__(code)
         self.code = code
         self.peer = peer
         self.not_run = not_run
         self.retry_after_s = retry_after_s
+        self.answer = answer
 
 
 async def run(
@@ -202,7 +221,7 @@
         if batch.status and not out.begun and not (batch.done and batch.code):
             out.begin(batch.status, batch.headers)
         if chunks:
-            _note_first_byte(asked, given)
+            parts.note_first_byte(asked, given)
             out.write(chunks)
         if whole.whole:
             given.note_success(name)
@@ -234,8 +253,3 @@
                     "agent-lost", peer=name, not_run=False
                 ) from lost
         await task.deferLater(given.reactor, RELINK_PAUSE_S)
-
-
-def _note_first_byte(asked: call.Call, given: parts.Parts) -> None:
-    if asked.first_byte_at is None:
-        asked.first_byte_at = given.clock.monotonic()
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
@@ -4,10 +4,12 @@
 __license__ = "Apache-2.0"
 
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import Any
 
-from reelscale_core import admission, model, routing
+from reelscale_core import admission, model, retry, routing
+from reelscale_core import route as routes
 from twisted.internet import defer
 
 
@@ -20,6 +22,13 @@
       id: Unique id, also given to the caller.
       arrived_at: Monotonic seconds.
       deadline: Monotonic seconds by which it must have started.
+      end_by: Monotonic seconds by which its answer must be whole.
+      host: The host that the caller named.
+      key: The caller's bearer key, empty for none.
+      resume_after: Id of the last event that the caller has, of a stream
+        that broke.
+      route: The route that it goes by, where there are routes.
+      most_attempts: Upstreams that it may be sent to.
       workspace: Whose request it is.
       target: The group or service that it goes to.
       is_model: Whether the target is a group of a model.
@@ -48,6 +57,12 @@
     id: str
     arrived_at: float
     deadline: float
+    end_by: float = math.inf
+    host: str = ""
+    key: str = ""
+    resume_after: int | None = None
+    route: routes.Route | None = None
+    most_attempts: int = retry.MOST_ATTEMPTS
     workspace: model.Workspace | None = None
     target: str = ""
     is_model: bool = False
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/chain.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/chain.py
@@ -1,26 +1,15 @@
-"""The fixed chain that every request of a caller passes."""
+"""Passes every request of a caller through a fixed chain of filters."""
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from collections.abc import Awaitable, Callable
+from . import call, limit, parts
 
-from . import admit, call, classify, identify, limit, parts, relay
-
-Filter = Callable[[call.Call, parts.Parts], Awaitable[None]]
-
-CHAIN: tuple[Filter, ...] = (
-    identify.identify,
-    classify.classify,
-    limit.limit,
-    admit.admit,
-    relay.relay,
-)
 COUNTED_AFTER = limit.limit
 
 
 async def run(asked: call.Call, given: parts.Parts) -> None:
-    """Pass a request through the chain.
+    """Pass a request through the chain of this entry.
 
     Raises:
       CodedError: A filter refused it, or it failed before its answer.
@@ -29,7 +18,7 @@
     """
     counted = False
     try:
-        for function in CHAIN:
+        for function in given.chain:
             await function(asked, given)
             counted = counted or function is COUNTED_AFTER
     finally:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -5,7 +5,8 @@
 
 import collections
 import itertools
-from typing import Any, NamedTuple
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, Protocol
 
 from reelscale_core import (
     admission,
@@ -13,6 +14,7 @@
     clock,
     model,
     retry,
+    route,
     routing,
     settings,
 )
@@ -20,13 +22,63 @@
 from reelscale_wire import link
 
 from .. import metrics
-from ..controllers import config, membership
+from ..adapters import base
+from ..controllers import config
+from ..exchange import pool
 from . import call
 
 DECISIONS_KEPT = 2000
 DEFAULT_RETRY_S = 1.0
 
 
+# A filter of the chain that a request passes.
+Filter = Callable[[call.Call, "Parts"], Awaitable[None]]
+# Sends one attempt and relays what it gives; the last one is a Writer.
+Send = Callable[[call.Call, "Parts", Any], Awaitable[None]]
+
+
+class View(Protocol):
+    """An upstream as this entry sees it.
+
+    Attributes:
+      own: Requests of this entry in progress there.
+      breaker: Its circuit breaker.
+    """
+
+    own: int
+    breaker: circuit.Circuit
+
+
+class Upstreams(Protocol):
+    """What the filters ask of the controller that knows the upstreams.
+
+    Attributes:
+      views_by_name: The views of all that are known.
+      waiting_by_target: Requests that wait here, by target.
+      on_change: Called after a change of the views.
+    """
+
+    views_by_name: dict[str, Any]
+    waiting_by_target: dict[str, int]
+    on_change: list[Callable[[], None]]
+
+    def candidates(self, target: str) -> list[routing.Candidate]:
+        """Return the upstreams that may serve a target."""
+        ...
+
+    def reachable(self, target: str) -> bool:
+        """Tell whether any upstream of a target may get work at all."""
+        ...
+
+    def use(self, target: str) -> None:
+        """Note that a request wants a target."""
+        ...
+
+    async def wake(self, target: str) -> None:
+        """Find out afresh which upstreams may serve a target."""
+        ...
+
+
 class Decision(NamedTuple):
     """Why a request went where it went, for "reelscale explain".
 
@@ -60,9 +112,13 @@
         settings: settings.Settings,
         config: config.Config,
         links: link.Links,
-        membership: membership.Membership,
+        membership: Upstreams,
         metrics: metrics.Metrics,
         incarnation: str,
+        chain: tuple[Filter, ...],
+        send: Send,
+        connections: pool.Pool | None = None,
+        dialect: base.Dialect | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -72,6 +128,11 @@
         self.membership = membership
         self.metrics = metrics
         self.incarnation = incarnation
+        self.chain = chain
+        self.send = send
+        self.connections = connections
+        self.dialect = dialect
+        self.routes = route.Table(routes=())
         self.running_by_workspace: dict[str, int] = {}
         self.running = 0
         self.budget = retry.Budget()
@@ -131,12 +192,8 @@
         return routing.choose(candidates, asked.wish, now)
 
     def reachable(self, target: str) -> bool:
-        """Tell whether any upstream of a target grants anything."""
-        now = self.clock.monotonic()
-        return any(
-            now < item.until and item.slots > 0
-            for item in self.membership.candidates(target)
-        )
+        """Tell whether any upstream of a target may get work at all."""
+        return self.membership.reachable(target)
 
     def reserve(self, asked: call.Call) -> None:
         """Take the slot that a request was given."""
@@ -209,6 +266,14 @@
 
     def _follow(self, state: states.State) -> None:
         self._workspace_by_digest = {
-            item.key_digest: item.name
+            digest: item.name
             for item in state.workspaces_by_name.values()
+            for digest in item.key_digests
         }
+        self.routes = route.Table(routes=state.routes_by_name.values())
+
+
+def note_first_byte(asked: call.Call, given: Parts) -> None:
+    """Note when the first piece of an answer was there."""
+    if asked.first_byte_at is None:
+        asked.first_byte_at = given.clock.monotonic()
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -16,6 +16,10 @@
 
 # A stream that lost its upstream waits this long for a slot elsewhere.
 RESUME_WAIT_S = 20.0
+# 503 tells the caller that nothing ran; where that is not proved, the
+# status must be another.
+NOT_RUN_STATUS = 503
+RAN_STATUS = 502
 
 
 async def relay(asked: call.Call, given: parts.Parts) -> None:
@@ -26,18 +30,46 @@
       writer.BrokenError: The answer broke off after it had begun.
     """
     out = writer.make(asked, given)
-    given.budget = retry.deposit(given.budget)
+    given.budget = retry.deposit(given.budget, given.settings.retry_ratio)
     tries = 0
     ran = False
     while True:
         tries += 1
         try:
-            await attempts.run(asked, given, out)
+            await given.send(asked, given, out)
             asked.outcome = error.OUTCOME_RAN
             return
         except attempts.AttemptLostError as lost:
             ran = ran or not lost.not_run
-            await _again(asked, given, out, lost, tries, ran)
+            if not await _prepared(asked, given, out, lost, tries, ran):
+                return
+
+
+async def _prepared(
+    asked: call.Call,
+    given: parts.Parts,
+    out: writer.Writer,
+    lost: attempts.AttemptLostError,
+    tries: int,
+    ran: bool,
+) -> bool:
+    """Prepare another attempt; False if the caller got the last answer.
+
+    An upstream that failed a request by itself said so in an answer; where
+    no other may be tried, that is what the caller gets.
+    """
+    try:
+        await _again(asked, given, out, lost, tries, ran)
+    except error.CodedError:
+        if lost.answer is None or out.begun:
+            raise
+        status, headers, body = lost.answer
+        out.begin(status, headers, length=len(body))
+        out.write([body])
+        out.finish()
+        asked.outcome = error.OUTCOME_RAN
+        return False
+    return True
 
 
 async def _again(
@@ -55,17 +87,22 @@
         raise _failure(asked, given, out, lost, ran)
     if out.begun and not out.resumable:
         raise _failure(asked, given, out, lost, ran)
-    left_s = asked.deadline - given.clock.monotonic()
+    now = given.clock.monotonic()
+    left_s = min(asked.deadline, asked.end_by) - now
+    if asked.route is not None:
+        left_s = asked.end_by - now
     worth = retry.worth(
         attempts=tries,
         not_run=lost.not_run,
         repeatable=asked.repeatable,
         left_s=left_s if not out.begun else retry.LEAST_LEFT_S,
+        most=asked.most_attempts,
     )
-    # A stream that goes on elsewhere is no retry: it brings only the load
-    # that its lost upstream has shed, and sessions must not be dropped.
-    resumes = out.events > 0
-    budget = given.budget if resumes else retry.withdraw(given.budget)
+    # A stream that goes on elsewhere brings only the load that its lost
+    # upstream has shed, and sessions must not be dropped: it is no retry,
+    # except where the operators of routes count it as one.
+    free = out.events > 0 and asked.route is None
+    budget = given.budget if free else retry.withdraw(given.budget)
     if not worth or budget is None:
         raise _failure(asked, given, out, lost, ran)
     given.budget = budget
@@ -89,7 +126,8 @@
     """Wait for a slot once more; a stream goes ahead of new requests."""
     if out.events:
         asked.priority = 0
-        asked.deadline = given.clock.monotonic() + RESUME_WAIT_S
+        wait_until = given.clock.monotonic() + RESUME_WAIT_S
+        asked.deadline = min(wait_until, asked.end_by)
     try:
         await admit.admit(asked, given)
     except error.CodedError as refused:
@@ -97,6 +135,7 @@
             raise writer.BrokenError(refused.code, lost.peer) from refused
         if ran:
             refused.outcome = error.OUTCOME_UNKNOWN
+            refused.status = RAN_STATUS
         raise
 
 
@@ -116,7 +155,7 @@
         lost.code,
         step="relay",
         peer=lost.peer,
-        status=503 if not ran else 502,
+        status=NOT_RUN_STATUS if not ran else RAN_STATUS,
         detail="the upstream did not answer this request",
         retry_after_s=after,
         outcome=error.OUTCOME_UNKNOWN if ran else error.OUTCOME_NOT_RUN,
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/writer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/writer.py
@@ -45,6 +45,7 @@
       begun: Whether anything has gone to the caller.
       resumable: Whether another attempt can go on where one broke.
       events: Events of a stream given so far.
+      last_id: Id of the last of them, None where ids play no part.
     """
 
     resumable = False
@@ -52,6 +53,7 @@
     def __init__(self, *, asked: call.Call, given: parts.Parts) -> None:
         self.begun = False
         self.events = 0
+        self.last_id: int | None = None
         self._asked = asked
         self._http = asked.http
         self._given = given
@@ -86,9 +88,7 @@
 
     def begin(self, status: int, headers: Sequence[Any]) -> None:
         """Send status and headers."""
-        self.begun = True
-        self._http.registerProducer(self, True)
-        self._http.setResponseCode(status)
+        self._begin(status)
         for row in headers:
             self._http.responseHeaders.addRawHeader(row.name, row.value)
         self._http.setHeader(OUTCOME_HEADER, error.OUTCOME_RAN)
@@ -103,6 +103,41 @@
         self._http.unregisterProducer()
         self._http.finish()
 
+    def _begin(self, status: int) -> None:
+        self.begun = True
+        self._http.registerProducer(self, True)
+        self._http.setResponseCode(status)
+
+
+class Unaltered(Writer):
+    """An upstream's answer as it is, for callers that know it."""
+
+    @property
+    def resumable(self) -> bool:
+        """Whether the route lets a stream go on at another upstream."""
+        found = self._asked.route
+        return found is not None and found.resumable
+
+    def begin(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        *,
+        length: int | None = None,
+    ) -> None:
+        """Send status and headers.
+
+        Args:
+          status: HTTP status.
+          headers: Headers that go on.
+          length: Size of the body, if it is at hand.
+        """
+        self._begin(status)
+        for name, value in headers:
+            self._http.responseHeaders.addRawHeader(name, value)
+        if length is not None:
+            self._http.setHeader(b"content-length", b"%d" % length)
+
 
 class Events(Writer):
     """An event stream, event by event."""
@@ -171,6 +206,8 @@
 
 def make(asked: call.Call, given: parts.Parts) -> Writer:
     """Return the writer for a request."""
+    if asked.route is not None:
+        return Unaltered(asked=asked, given=given)
     if not asked.is_model:
         return Writer(asked=asked, given=given)
     if asked.stream:
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -0,0 +1,198 @@
+"""An entry that meets upstreams itself, on a platform with an adapter."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import importlib
+import signal
+from typing import Any
+
+from reelscale_core import clock, error, settings
+from reelscale_wire import link
+from reelscale_wire.gen import Peer, ttypes
+from twisted.internet import defer, task
+from twisted.web import resource, server
+from zope.interface import implementer
+
+from . import callers, health, ingress, logs, metrics, process
+from .adapters import base
+from .controllers import directory
+from .exchange import pool
+from .filters import admit, direct, limit, parts, relay, routed
+
+LOG = logs.Part("entry")
+STOP_POLL_S = 0.05
+CHAIN = (
+    routed.find_route,
+    limit.limit,
+    admit.admit,
+    relay.relay,
+)
+# What is still in progress this long before the end of the grace time is
+# broken off, in seconds, so that the process ends by itself.
+STOP_MARGIN_S = 0.4
+
+
+@implementer(Peer.Iface)
+class Front:
+    """One entry and its parts."""
+
+    def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
+        self.settings = settings
+        now = clock.SystemClock()
+        self._connections = pool.Pool(reactor=reactor, clock=now)
+        self._adapter = _adapter(reactor, now, settings, self._connections)
+        self._base = process.Base(
+            reactor=reactor,
+            settings=settings,
+            platform=self._adapter.source,
+            clock=now,
+        )
+        self._metrics = metrics.Metrics()
+        self._directory = directory.Directory(
+            reactor=reactor,
+            clock=now,
+            roster=self._adapter.roster,
+            connections=self._connections,
+            name=settings.name,
+        )
+        self._parts = parts.Parts(
+            reactor=reactor,
+            clock=now,
+            settings=settings,
+            config=self._base.config,
+            links=self._base.links,
+            membership=self._directory,
+            metrics=self._metrics,
+            incarnation=self._base.incarnation,
+            chain=CHAIN,
+            send=direct.run,
+            connections=self._connections,
+            dialect=self._adapter.dialect,
+        )
+        self._ingress = ingress.Ingress(
+            reactor=reactor,
+            resource=callers.Callers(
+                given=self._parts, surface=self._adapter.surface
+            ),
+            body_bytes=settings.body_bytes,
+        )
+        self._base.config.listen(self._follow)
+
+    async def start(self) -> None:
+        """Serve callers, peers and probes."""
+        own = self._base
+        own.on_signal(self.stop)
+        signal.signal(signal.SIGHUP, self._reload_soon)
+        await own.listen(own.settings.peer, link.Server(handler=self))
+        await own.listen(own.settings.health, self._probes())
+        await own.listen(own.settings.http, self._ingress)
+        defer.ensureDeferred(own.config.run())
+        defer.ensureDeferred(self._directory.run())
+        LOG.info(
+            "Serving.",
+            name=own.settings.name,
+            http=own.settings.http,
+            incarnation=own.incarnation,
+        )
+
+    async def stop(self) -> None:
+        """Say not ready, let requests end, then go within the grace time."""
+        own = self._base
+        started = own.clock.monotonic()
+        end_by = started + own.settings.grace.total_seconds() - STOP_MARGIN_S
+        self._ingress.drain()
+        stop_wait_s = own.settings.stop_wait.total_seconds()
+        await task.deferLater(own.reactor, stop_wait_s)
+        # A balancer that finds too few ready sends new callers to all; they
+        # find another entry at once when nobody listens here.
+        await own.stop_listening()
+        self._ingress.close_idle()
+        while self._parts.running and own.clock.monotonic() < end_by:
+            await task.deferLater(own.reactor, STOP_POLL_S)
+            self._ingress.close_idle()
+        self._directory.stop()
+        own.config.stop()
+        LOG.info("Stopped.", broken_off=self._parts.running)
+
+    # What peers may call, by the names of the Peer service.
+
+    def state(self, request: ttypes.StateRequest) -> defer.Deferred:
+        """Give the configuration to a peer that cannot reach the log."""
+        return defer.ensureDeferred(
+            self._base.config.answer(request.have_offset)
+        )
+
+    def _probes(self) -> server.Site:
+        """Return the site for readiness and metrics."""
+        root = resource.Resource()
+        health.add_routes(
+            root,
+            ready=self._not_ready,
+            metrics=self._metrics,
+            refresh=self._refresh,
+            ready_path=self._adapter.surface.ready_path,
+        )
+        return process.site(root)
+
+    def _not_ready(self) -> str:
+        if self._base.stopping:
+            return "stopping"
+        if not self._base.config.ready:
+            return "no configuration yet"
+        return "" if self._directory.ready else "no list of upstreams yet"
+
+    def _follow(self, state: Any) -> None:
+        """Apply the limits of a new configuration."""
+        self._ingress.limits = state.limits
+        LOG.info(
+            "A configuration is in force.",
+            version=state.version,
+            offset=state.offset,
+            routes=len(state.routes_by_name),
+            workspaces=len(state.workspaces_by_name),
+        )
+
+    def _reload_soon(self, *_: Any) -> None:
+        self._base.reactor.callFromThread(self._reload)
+
+    def _reload(self) -> None:
+        """Read the settings again; what can change without a restart does.
+
+        Addresses are those of the start; a changed one is only reported.
+        """
+        path = self.settings.path
+        try:
+            new = settings.read(path, role="entry")
+        except error.CodedError as bad:
+            LOG.error("The settings are kept: the file is bad.", reason=bad)
+            return
+        changed = [
+            name
+            for name, value in new._asdict().items()
+            if value != getattr(self.settings, name)
+        ]
+        LOG.info("Read the settings again.", changed=changed)
+        self.settings = self._base.settings = self._parts.settings = new
+
+    def _refresh(self) -> None:
+        """Set the gauges before a scrape."""
+        own = self._base
+        self._metrics.offset.set({}, own.config.state.offset)
+        self._metrics.log_age.set({}, min(own.config.log_age_s(), 1e6))
+        self._metrics.running.set({}, self._parts.running)
+        for target, count in self._directory.waiting_by_target.items():
+            self._metrics.queued.set({"target": target}, count)
+
+
+def _adapter(
+    reactor: Any,
+    now: clock.Clock,
+    given: settings.Settings,
+    connections: pool.Pool,
+) -> base.Adapter:
+    """Make the adapter that the settings name."""
+    make: base.Maker = importlib.import_module(given.adapter).make
+    return make(
+        reactor=reactor, clock=now, settings=given, connections=connections
+    )
--- a/packages/reelscale-daemon/src/reelscale_daemon/health.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/health.py
@@ -11,7 +11,6 @@
 from twisted.web import resource
 
 from . import metrics
-from .adapters import platform
 
 
 class Text(resource.Resource):
@@ -36,9 +35,7 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(
-        self, *, links: link.Links, platform: platform.Platform
-    ) -> None:
+    def __init__(self, *, links: link.Links, platform: Any) -> None:
         super().__init__()
         self._links = links
         self._platform = platform
@@ -57,6 +54,7 @@
     ready: Callable[[], str],
     metrics: metrics.Metrics,
     refresh: Callable[[], None],
+    ready_path: bytes = b"/readyz",
 ) -> None:
     """Add /livez, /readyz and /metrics.
 
@@ -65,6 +63,7 @@
       ready: Returns why the process is not ready, empty when it is.
       metrics: The process's metrics.
       refresh: Called before a scrape to set the gauges.
+      ready_path: Where readiness is asked for.
     """
 
     def livez() -> tuple[int, str, bytes]:
@@ -81,5 +80,10 @@
         return 200, kind, body
 
     root.putChild(b"livez", Text(livez))
-    root.putChild(b"readyz", Text(readyz))
+    *folders, last = ready_path.strip(b"/").split(b"/")
+    at = root
+    for folder in folders:
+        at.putChild(folder, resource.Resource())
+        at = at.children[folder]
+    at.putChild(last, Text(readyz))
     root.putChild(b"metrics", Text(scrape))
--- a/packages/reelscale-daemon/src/reelscale_daemon/main.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/main.py
@@ -4,22 +4,30 @@
 __license__ = "Apache-2.0"
 
 import sys
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 from reelscale_core import error, settings
 from twisted.internet import defer, reactor
 
-from . import agent, entry, logs
+from . import logs
 
 BAD_SETTINGS = 2
 FAILED = 1
 
 app = typer.Typer(
-    help="The reelscale daemon.", no_args_is_help=True, add_completion=False
+    help="The reelscale daemon.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
 )
 SettingsFile = Annotated[
-    str, typer.Option("--settings", help="JSON file with the settings.")
+    str,
+    typer.Option(
+        "--settings",
+        envvar="REELSCALE_SETTINGS",
+        help="JSON file with the settings.",
+    ),
 ]
 
 
@@ -27,12 +35,21 @@
 def run_entry(settings_file: SettingsFile) -> None:
     """Run an entry: between callers and agents."""
     given = _settings(settings_file, "entry")
+    if given.adapter:
+        from . import front
+
+        _run(front.Front(reactor=reactor, settings=given))
+        return
+    from . import entry
+
     _run(entry.Entry(reactor=reactor, settings=given))
 
 
 @app.command("agent")
 def run_agent(settings_file: SettingsFile) -> None:
     """Run an agent: beside one upstream."""
+    from . import agent
+
     given = _settings(settings_file, "agent")
     _run(agent.Agent(reactor=reactor, settings=given))
 
@@ -63,7 +80,7 @@
         raise typer.Exit(BAD_SETTINGS) from bad
 
 
-def _run(part: entry.Entry | agent.Agent) -> None:
+def _run(part: Any) -> None:
     """Run the reactor until the process has stopped in order."""
     logs.start(as_json=part.settings.log_json)
     failed = []
--- a/packages/reelscale-daemon/src/reelscale_daemon/process.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -14,7 +14,6 @@
 from twisted.web import server
 
 from . import logs
-from .adapters import platform
 from .controllers import config
 
 LOG = logs.Part("process")
@@ -28,19 +27,24 @@
       clock: The time.
       incarnation: Tells this start of the process from all others.
       links: Connections to peers.
-      platform: The platform's log and list of boxes.
+      platform: The platform's log.
       config: The configuration in force.
     """
 
-    def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        settings: settings.Settings,
+        platform: Any,
+        clock: clock.Clock,
+    ) -> None:
         self.reactor = reactor
         self.settings = settings
-        self.clock = clock.SystemClock()
+        self.clock = clock
         self.incarnation = uuid.uuid4().hex[:12]
         self.links = link.Links(reactor=reactor)
-        self.platform = platform.Platform(
-            reactor=reactor, url=settings.platform
-        )
+        self.platform = platform
         self.config = config.Config(
             reactor=reactor,
             clock=self.clock,
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,326 @@
+"""Stand-in for the platform's store: a log with topics, by its pages.
+
+POST /control sets its faults: "down" ("silent", "busy" or "reset"), "slow_s",
+"lose_answers" (appends are done, their answer is lost), "drop" (history of
+every topic goes), "stale" (reads answer as of the records so many ago) and
+"turned_away" (the share of calls that gets 429).  GET /control counts calls.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import base64
+import collections
+import json
+import struct
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.web import server
+
+from . import web
+
+RECORD = struct.Struct(">I")
+ENDS = struct.Struct(">QQ")
+KEYED = "keyed."
+PAGE = 500
+KEPT_ANSWERS = 5
+
+
+class Partition:
+    """The records of one partition.
+
+    Attributes:
+      first: Lowest offset that is kept.
+      records: Those from there on.
+      newest: Offset and value by key, for topics with keys.
+      producers: Epoch, last sequence number and answers of each.
+    """
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[bytes] = []
+        self.newest: dict[str, tuple[int, bytes]] = {}
+        self.producers: dict[str, tuple[int, int, dict[int, int]]] = {}
+
+    @property
+    def end(self) -> int:
+        """Return the offset that the next record gets."""
+        return self.first + len(self.records)
+
+    def add(self, record: bytes, *, has_key: bool) -> None:
+        """Add a record."""
+        if has_key:
+            size = record[0]
+            key = record[1 : 1 + size].decode()
+            value = record[1 + size :]
+            self.newest.pop(key, None)
+            if value:
+                self.newest[key] = (self.end, value)
+        self.records.append(record)
+
+    def drop(self) -> None:
+        """Forget all records; the newest of each key stays."""
+        self.first, self.records = self.end, []
+
+
+class Store:
+    """The topics, the groups and the faults."""
+
+    def __init__(self) -> None:
+        self.parts: dict[tuple[str, int], Partition] = {}
+        self.groups: dict[str, dict[str, int]] = {}
+        self.generations: dict[str, int] = {}
+        self.committed: dict[tuple[str, str, int], int] = {}
+        self.reads: list[tuple[Any, tuple[str, int], int]] = []
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.down = ""
+        self.slow_s = 0.0
+        self.lose_answers = 0
+        self.stale = 0
+
+    def handle(self, request: Any) -> Any:
+        """Answer one call."""
+        path = request.path.decode()
+        if path == "/control":
+            return self.control(request)
+        self.calls[path.rsplit("/", 1)[-1]] += 1
+        request.notifyFinish().addErrback(
+            lambda _: setattr(request, "gone", True)
+        )
+        if self.down:
+            return self.refuse(request)
+        reactor.callLater(self.slow_s, self.serve, request, path)
+        return server.NOT_DONE_YET
+
+    def refuse(self, request: Any) -> Any:
+        """Be down, in the way that was set."""
+        if self.down == "busy":
+            request.setResponseCode(503)
+            return b""
+        if self.down == "reset":
+            request.transport.abortConnection()
+        return server.NOT_DONE_YET
+
+    def control(self, request: Any) -> dict[str, Any]:
+        """Set faults; tell how many calls there were."""
+        data = web.body(request)
+        if data.pop("drop", False):
+            for part in self.parts.values():
+                part.drop()
+        for name, value in data.items():
+            setattr(self, name, value)
+        if self.down:
+            waiting, self.reads = self.reads, []
+            for waiter, _, _ in waiting:
+                if self.down != "silent" and not getattr(
+                    waiter, "gone", False
+                ):
+                    waiter.transport.abortConnection()
+        return {"calls": dict(self.calls)}
+
+    def serve(self, request: Any, path: str) -> None:
+        """Answer a call of the pages."""
+        if getattr(request, "gone", False):
+            return
+        match path.removeprefix("/api/"):
+            case "log-append":
+                self.append(request)
+            case "log-read":
+                self.read(request)
+            case "log-newest":
+                self.newest(request)
+            case "log-join":
+                self.join(request)
+            case "log-leave":
+                self.leave(request)
+            case "log-commit":
+                self.commit(request)
+            case "log-owners":
+                self.owners(request)
+            case _:
+                web.finish(request, {}, 404)
+
+    def partition(self, request: Any) -> tuple[tuple[str, int], Partition]:
+        """Return the partition that a call names."""
+        key = (_text(request, "topic"), int(_text(request, "part")))
+        return key, self.parts.setdefault(key, Partition())
+
+    def append(self, request: Any) -> None:
+        """Append records, all or none."""
+        (topic, number), part = self.partition(request)
+        records = _split(request.content.read())
+        at = _text(request, "at")
+        if at and int(at) != part.end:
+            web.finish(request, {"end": part.end}, 412)
+            return
+        name = _text(request, "producer")
+        if name and not self.producer_holds(request, part, name, records):
+            return
+        offset = part.end
+        for record in records:
+            part.add(record, has_key=topic.startswith(KEYED))
+        self.wake((topic, number))
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            request.transport.abortConnection()
+            return
+        web.finish(request, {"offset": offset, "end": part.end})
+
+    def producer_holds(
+        self, request: Any, part: Partition, name: str, records: list[bytes]
+    ) -> bool:
+        """Check a producer's epoch and sequence number; answer if wrong."""
+        epoch, seq = int(_text(request, "epoch")), int(_text(request, "seq"))
+        old_epoch, last, answers = part.producers.get(name, (-1, -1, {}))
+        if epoch < old_epoch:
+            web.finish(request, {"reason": "fenced"}, 409)
+            return False
+        if epoch > old_epoch:
+            last, answers = seq - 1, {}
+        if seq in answers:
+            end = part.end
+            web.finish(request, {"offset": answers[seq], "end": end})
+            return False
+        if seq != last + 1:
+            web.finish(request, {"reason": "seq", "seq": last + 1}, 409)
+            return False
+        if records:
+            answers[seq] = part.end
+            answers.pop(seq - KEPT_ANSWERS, None)
+            last = seq
+        part.producers[name] = (epoch, last, answers)
+        return True
+
+    def read(self, request: Any) -> None:
+        """Read records, or wait for the first."""
+        key, part = self.partition(request)
+        at = int(_text(request, "from"))
+        wait_s = int(_text(request, "wait_ms") or 0) / 1000
+        if at < part.first:
+            web.finish(request, {"first": part.first}, 410)
+            return
+        if at < part.end or not wait_s:
+            self.give(request, part, at)
+            return
+        row = (request, key, at)
+        self.reads.append(row)
+        reactor.callLater(wait_s, self.expire, row)
+
+    def expire(self, row: tuple[Any, tuple[str, int], int]) -> None:
+        """Answer a read that has waited long enough."""
+        if row in self.reads:
+            self.reads.remove(row)
+            self.give(row[0], self.parts[row[1]], row[2])
+
+    def wake(self, key: tuple[str, int]) -> None:
+        """Answer the reads that wait at a partition."""
+        due = [row for row in self.reads if row[1] == key]
+        self.reads = [row for row in self.reads if row[1] != key]
+        for request, _, at in due:
+            self.give(request, self.parts[key], at)
+
+    def give(self, request: Any, part: Partition, at: int) -> None:
+        """Answer a read with what there is, or was a while ago."""
+        if getattr(request, "gone", False):
+            return
+        end = max(part.first, part.end - self.stale)
+        rows = part.records[at - part.first : max(0, end - part.first)]
+        request.setHeader(b"content-type", b"application/octet-stream")
+        request.write(ENDS.pack(end, part.first))
+        request.write(b"".join(RECORD.pack(len(r)) + r for r in rows))
+        request.finish()
+
+    def newest(self, request: Any) -> None:
+        """Answer with the newest record of each key."""
+        _, part = self.partition(request)
+        after = _text(request, "after")
+        names = sorted(name for name in part.newest if name > after)
+        items = [
+            {
+                "key_file": name,
+                "value": base64.b64encode(part.newest[name][1]).decode(),
+                "offset": part.newest[name][0],
+            }
+            for name in names[:PAGE]
+        ]
+        more = len(names) > PAGE
+        page = {"items": items, "more": more, "end": part.end}
+        web.finish(request, page)
+
+    def join(self, request: Any) -> None:
+        """Take a member in, and deal the partitions out evenly."""
+        data = web.body(request)
+        members = self.groups.setdefault(data["group"], {})
+        if data["member"] not in members:
+            self.generations[data["group"]] = self.generation(data) + 1
+        members[data["member"]] = data["ttl_ms"]
+        mine = sorted(members).index(data["member"])
+        parts = [
+            [topic, number, self.committed.get((data["group"], topic, 0), 0)]
+            for topic in data["topics"]
+            for number in range(24)
+            if number % len(members) == mine
+        ]
+        answer = {"generation": self.generation(data), "parts": parts}
+        web.finish(request, {**answer, "ttl_ms": data["ttl_ms"]})
+
+    def generation(self, data: dict[str, Any]) -> int:
+        """Return the generation of a group."""
+        return self.generations.get(data["group"], 0)
+
+    def leave(self, request: Any) -> None:
+        """Let a member go."""
+        data = web.body(request)
+        if self.groups.get(data["group"], {}).pop(data["member"], None):
+            self.generations[data["group"]] = self.generation(data) + 1
+        web.finish(request, {})
+
+    def commit(self, request: Any) -> None:
+        """Keep how far a member is."""
+        data = web.body(request)
+        held = data["member"] in self.groups.get(data["group"], {})
+        if not held or data["generation"] != self.generation(data):
+            web.finish(request, {}, 409)
+            return
+        key = (data["group"], data["topic"], data["part"])
+        self.committed[key] = data["offset"]
+        web.finish(request, {})
+
+    def owners(self, request: Any) -> None:
+        """Tell the members of a group."""
+        group = _text(request, "group")
+        rows = [["", 0, name, 0] for name in self.groups.get(group, {})]
+        web.finish(request, {"parts": rows})
+
+
+def keyed_record(key: str, data: Any) -> bytes:
+    """Return a record of a topic with keys, framed for an append."""
+    value = b"" if data is None else json.dumps(data).encode()
+    record = bytes([len(key)]) + key.encode() + value
+    return RECORD.pack(len(record)) + record
+
+
+def _split(body: bytes) -> list[bytes]:
+    records = []
+    at = 0
+    while at < len(body):
+        (size,) = RECORD.unpack_from(body, at)
+        records.append(body[at + RECORD.size : at + RECORD.size + size])
+        at += RECORD.size + size
+    return records
+
+
+def _text(request: Any, name: str) -> str:
+    return request.args.get(name.encode(), [b""])[0].decode()
+
+
+def main() -> None:
+    """Serve until killed."""
+    settings = web.arguments()
+    web.serve(Store().handle, settings["port"])
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,317 @@
+"""Stand-in for a worker of the platform, by its pages, faults included.
+
+A word of a request's path tells what the worker does wrong with it, such as
+"/chat/reset/1"; see FAULTS.  Any other word is answered as it should be, and
+a worker that is not "faulty" answers all so.  GET /ledger lists the runs.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from twisted.internet import protocol, reactor
+
+from . import web
+
+EVENTS = 6
+EVENT_GAP_S = 0.01
+BODY = b"whole answer of %b"
+
+
+class Worker(protocol.Factory):
+    """The worker: its id, its ledger and its connections."""
+
+    noisy = False
+
+    def __init__(self, settings: dict[str, Any]) -> None:
+        self.id = settings["id"]
+        self.slots = settings.get("slots", 6)
+        self.faulty = settings.get("faulty", True)
+        self.runs: list[dict[str, Any]] = []
+        self.cancelled: list[str] = []
+        self.accepted = 0
+
+    def buildProtocol(self, address: Any) -> "Channel":  # noqa: N802
+        """Return the protocol of a new connection."""
+        self.accepted += 1
+        return Channel(self)
+
+
+class Channel(protocol.Protocol):
+    """One connection, with one request at a time."""
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker = worker
+        self.http = h11.Connection(h11.SERVER)
+        self.request: h11.Request | None = None
+        self.body = b""
+        self.streaming = ""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read requests."""
+        self.http.receive_data(data)
+        while True:
+            event = self.http.next_event()
+            match event:
+                case h11.Request():
+                    self.request, self.body = event, b""
+                    if self.word() == "early":
+                        self.early()
+                        return
+                case h11.Data():
+                    self.body += event.data
+                case h11.EndOfMessage():
+                    self.serve()
+                    return
+                case _:
+                    return
+
+    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
+        """Note the stream that its caller has left."""
+        if self.streaming:
+            self.worker.cancelled.append(self.streaming)
+
+    def header(self, name: str) -> str:
+        """Return a header of the request, "" if there is none."""
+        by_name = dict(self.request.headers)
+        return by_name.get(name.encode(), b"").decode()
+
+    def word(self) -> str:
+        """Return the word that tells what to do wrong, "" for nothing."""
+        if not self.worker.faulty:
+            return ""
+        words = self.request.target.decode().strip("/").split("/")
+        return next((word for word in words if word in FAULTS), "")
+
+    def serve(self) -> None:
+        """Answer a request that is whole."""
+        path = self.request.target.decode()
+        if path == "/ledger":
+            ledger = {
+                "runs": self.worker.runs,
+                "cancelled": self.worker.cancelled,
+                "accepted": self.worker.accepted,
+            }
+            self.whole(json.dumps(ledger).encode())
+            return
+        wanted = self.header("expect-instance")
+        if wanted and wanted != self.worker.id:
+            self.head(421, [("Instance-Id", self.worker.id)], b"")
+            return
+        act = FAULTS.get(self.word())
+        if self.word() != "shed":
+            self.note_run()
+        if act is not None:
+            act(self)
+        elif path.startswith("/chat"):
+            self.stream()
+        else:
+            self.whole(self.text())
+
+    def note_run(self) -> None:
+        """Write the request into the ledger."""
+        self.worker.runs.append(
+            {
+                "id": self.header("request-id"),
+                "method": self.request.method.decode(),
+                "path": self.request.target.decode(),
+                "body": self.body.decode("latin-1"),
+                "headers": {
+                    name.decode(): value.decode()
+                    for name, value in self.request.headers
+                },
+                "by": self.worker.id,
+            }
+        )
+
+    def text(self) -> bytes:
+        """Return the answer's body."""
+        return BODY % self.header("request-id").encode()
+
+    def head_lines(
+        self, status: int, more: list[tuple[str, str]], request_id: str = ""
+    ) -> bytes:
+        """Return the head of an answer as bytes."""
+        rows = [
+            ("Request-Id", request_id or self.header("request-id")),
+            ("Response-Stamp", f"stamp-{self.worker.id}"),
+            ("Server-Load", f"0,0,{self.worker.slots}"),
+            *more,
+        ]
+        lines = [f"HTTP/1.1 {status} Reason"]
+        lines += [f"{name}: {value}" for name, value in rows]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    def head(
+        self, status: int, more: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Write an answer in one piece and get ready for the next."""
+        more = [*more, ("Content-Length", str(len(body)))]
+        self.transport.write(self.head_lines(status, more) + body)
+        self.next()
+
+    def whole(self, body: bytes) -> None:
+        """Write a good answer."""
+        self.head(200, [("Content-Type", "application/json")], body)
+
+    def next(self) -> None:
+        """Get ready for another request on this connection."""
+        rest = self.http.trailing_data[0]
+        self.http = h11.Connection(h11.SERVER)
+        self.request = None
+        if rest:
+            self.dataReceived(rest)
+
+    def early(self) -> None:
+        """Answer before the body is in, then read it to its end."""
+        self.transport.write(self.head_lines(413, [("Content-Length", "0")]))
+        left = int(self.header("content-length")) - len(
+            self.http.trailing_data[0]
+        )
+        self.skip = left
+        self.dataReceived = self.read_rest
+
+    def read_rest(self, data: bytes) -> None:
+        """Read over the rest of a body that was answered early."""
+        self.skip -= len(data)
+        if self.skip <= 0:
+            del self.dataReceived
+            rest = data[len(data) + self.skip :]
+            self.next()
+            if rest:
+                self.dataReceived(rest)
+
+    def stream(
+        self,
+        *,
+        last: int = EVENTS,
+        ids: Callable[[int], int] = lambda n: n,
+        end: Callable[["Channel"], None] | None = None,
+        gap_s: float = EVENT_GAP_S,
+    ) -> None:
+        """Write a stream of events, from the one after the caller's last."""
+        start = int(self.header("last-event-id") or 0)
+        more = [
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        self.transport.write(self.head_lines(200, more))
+        self.streaming = self.header("request-id")
+
+        def piece(number: int) -> None:
+            if not self.transport.connected:
+                return
+            if number > last:
+                self.streaming = ""
+                if end is not None:
+                    end(self)
+                    return
+                self.transport.write(b"0\r\n\r\n")
+                self.next()
+                return
+            event = f"id: {ids(number)}\ndata: e{number}\n\n".encode()
+            self.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
+            reactor.callLater(gap_s, piece, number + 1)
+
+        piece(start + 1)
+
+
+def _abort(channel: Channel) -> None:
+    channel.transport.abortConnection()
+
+
+def _torn(channel: Channel) -> None:
+    """End partway through an event."""
+    channel.transport.write(b"8\r\nid: 4\nda\r\n")
+    channel.transport.loseConnection()
+
+
+def _short(channel: Channel) -> None:
+    """Send less than was announced."""
+    more = [("Content-Length", "500")]
+    channel.transport.write(channel.head_lines(200, more) + channel.text())
+    channel.transport.loseConnection()
+
+
+def _extra(channel: Channel) -> None:
+    """Send a second answer behind the first."""
+    body = channel.text()
+    more = [("Content-Length", str(len(body)))]
+    answer = channel.head_lines(200, more) + body
+    other = channel.head_lines(200, more, "ffffffffffffffff") + body
+    channel.transport.write(answer + other)
+    channel.next()
+
+
+def _extra_late(channel: Channel) -> None:
+    """Send a second answer a while after the first."""
+    body = channel.text()
+    more = [("Content-Length", str(len(body)))]
+    channel.transport.write(channel.head_lines(200, more) + body)
+    other = channel.head_lines(200, more, "ffffffffffffffff") + body
+    reactor.callLater(0.02, channel.transport.write, other)
+    channel.next()
+
+
+def _unframed(channel: Channel) -> None:
+    """Send an answer that ends with its connection."""
+    channel.transport.write(channel.head_lines(200, []) + channel.text())
+    channel.transport.loseConnection()
+
+
+def _unframed_reset(channel: Channel) -> None:
+    """Reset the connection in the middle of such an answer."""
+    channel.transport.write(channel.head_lines(200, []) + channel.text())
+    reactor.callLater(0.05, channel.transport.abortConnection)
+
+
+def _foreign(channel: Channel) -> None:
+    """Answer another request than the one asked."""
+    body = channel.text()
+    more = [("Content-Length", str(len(body)))]
+    head = channel.head_lines(200, more, "0000000000000000")
+    channel.transport.write(head + body)
+    channel.next()
+
+
+def _garbage(channel: Channel) -> None:
+    """Send bytes that are no answer."""
+    channel.transport.write(b"\x00\x01 no HTTP at all\r\n\r\n")
+
+
+FAULTS: dict[str, Callable[[Channel], None]] = {
+    "shed": lambda channel: channel.head(503, [("Not-Executed", "1")], b""),
+    "early": Channel.early,
+    "error": lambda channel: channel.head(500, [], channel.text()),
+    "reset": _abort,
+    "mute": lambda channel: None,
+    "short": _short,
+    "extra": _extra,
+    "extra-late": _extra_late,
+    "unframed": _unframed,
+    "unframed-reset": _unframed_reset,
+    "foreign": _foreign,
+    "garbage": _garbage,
+    "cut": lambda channel: channel.stream(last=3, end=_abort),
+    "torn": lambda channel: channel.stream(last=3, end=_torn),
+    "gap": lambda channel: channel.stream(ids=lambda n: n if n < 3 else n + 1),
+    "slow": lambda channel: channel.stream(gap_s=0.4),
+    "large": lambda channel: channel.whole(b"x" * 1_000_000),
+}
+
+
+def main() -> None:
+    """Serve until killed."""
+    settings = web.arguments()
+    reactor.listenTCP(
+        settings["port"], Worker(settings), interface="127.0.0.1", backlog=512
+    )
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
