Ask other agents when one refuses as leaving; ready without being known

Another entry could still hold only the grant of the agent that stops next: it sent its requests there, was refused as leaving, chose the same agent again and gave up after four tries.

An entry that is idle asks an agent again only after 20 s, so an agent that started before its upstream stayed not ready for as long.

Ruled out: asking unsettled agents more often (an idle entry does not know that an agent restarted, so it still waited 20 s); a longer time in touch (only moves the odds).

Change: a refusal as leaving is noted, so an entry without another grant asks all agents for one; readiness no longer waits to be known. The check of readyz waits for each process to be ready, as an agent may get its first report late; that each becomes ready is still checked.

--- a/features/config.feature
+++ b/features/config.feature
@@ -48,6 +48,16 @@
     When all processes of hall "b" restart while the log is down
     Then hall "b" serves callers again on the same offset
 
+  Scenario: An agent is back and another stops before an entry has its grant
+    Given a cluster of its own with engines 0
+    When an agent is back and the other one stops 10 times over
+    Then no caller was refused
+
+  Scenario: An agent that starts before its upstream is ready soon after it
+    Given a cluster of its own with engines 0
+    When nobody has called for 6 s and an agent starts 3 s before its upstream
+    Then the agent is ready within 8 s of its upstream though nobody calls
+
   Scenario: Every process is replaced one by one under load
     Given a cluster of its own with engines 0
     When every entry and agent is stopped and started again in turn under load
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -213,8 +213,10 @@
 @then("every process answers livez, readyz and metrics")
 def _(context):
     made = context.cluster
-    for url in made.http.values():
-        for path in ("livez", "readyz", "metrics"):
+    for name, url in made.http.items():
+        # Under load an agent may get its first report late.
+        cluster.wait_for(lambda name=name: made.ready(name), name)
+        for path in ("livez", "metrics"):
             assert made.client.get(f"{url}/{path}").status_code == 200, url
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -30,9 +30,6 @@
 # A load report older than this means that the upstream is not well.
 UNWELL_S = 3.0
 STOP_POLL_S = 0.05
-# An agent is ready this long after its first grant: by then every entry
-# that is there has had one, so the next agent may be replaced.
-IN_TOUCH_S = 1.5
 # What a request sent at the last moment of a grant may take to arrive.
 STOP_MARGIN_S = 0.5
 
@@ -87,7 +84,6 @@
         self._load = engines.Load(0, 0, settings.slots)
         self._load_at = float("-inf")
         self._asking_load = False
-        self._granting_since = float("inf")
         self._box_leaving = False
         self._role = ""
         self._beats: dict[str, tuple[float, int]] = {}
@@ -233,9 +229,6 @@
             if now - at < grant.LAPSE_S
         }
         self._beats = {name: self._beats[name] for name in fresh}
-        well = now - self._load_at < UNWELL_S
-        if fresh and well and self._granting_since == float("inf"):
-            self._granting_since = now
         slots = 0
         if not self._streams.gate.leaving and entry in fresh:
             capacity = self._streams.gate.capacity
@@ -323,8 +316,6 @@
             return "no configuration yet"
         if now - self._load_at >= UNWELL_S:
             return "no load report of the upstream"
-        if now - self._granting_since < IN_TOUCH_S:
-            return "entries do not know this agent yet"
         return "leaving" if self._streams.gate.leaving else ""
 
     def _refresh(self) -> None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
@@ -178,6 +178,12 @@
         lapsed = self._clock.monotonic() >= view.heard_at + lapse_s
         return lapsed or view.pulse.leaving
 
+    def note_leaving(self, name: str) -> None:
+        """Send an upstream nothing more: its agent refused as leaving."""
+        view = self.views_by_name.get(name)
+        if view is not None and view.pulse is not None:
+            view.pulse.leaving = True
+
     def view(self, upstream: model.Upstream) -> View:
         """Return the view of an upstream, also outside the subset."""
         found = self.views_by_name.get(upstream.name)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
@@ -22,6 +22,8 @@
 RELINK_PAUSE_S = 0.1
 PULL_BYTES = 65536
 KINDS = ttypes.VerdictKind
+# The code with which an agent refuses new work before it ends.
+LEAVING = "leaving"
 
 
 class KeptAnswer(NamedTuple):
@@ -138,6 +140,9 @@
         return
     if verdict.kind == KINDS.ADMITTED:
         return
+    if verdict.code == LEAVING:
+        # Others are asked for grants then, where this was the only one.
+        given.membership.note_leaving(name)
     raise AttemptLostError(
         verdict.code,
         peer=name,
