Let entries tell each other their load, and keep streams at their pace

An entry knew how full a worker is only from that worker's answers, some seconds apart, and filled it with others unseen.

Change 1: entries send each other their requests in progress by upstream as datagrams, 20 to 60 ms after a change; an upstream gets no more than its slots, and more only where its work is so short that waiting there fits into the goal.

Cause 2: what began in time still came late, since steps grow with the number of streams and pauses passed 120 ms. Change 2: the part of a group's slots in use follows the pauses that are seen (core/pace.py).

Also: log lines are written to standard output without waiting, bounded in number, twisted's among them; a datagram that is no message left a traceback in the log (found by the generated datagrams).

--- /dev/null
+++ b/features/platform_usage.feature
@@ -0,0 +1,33 @@
+Feature: Entries together send each upstream what it can take
+
+  Scenario: Two entries share the slots of one worker
+    Given a fleet of one worker and 2 entries
+    When 10 requests that never end are sent by turns through both entries
+    Then the worker runs 6 and 4 are refused as not run
+
+  Scenario: The requests of an entry that has died no longer count
+    Given a fleet of one worker and 2 entries
+    When 6 requests that never end are sent through entry "f1"
+    Then entry "f2" refuses
+    When entry "f1" dies
+    Then entry "f2" serves within 5 s
+
+  Scenario: Datagrams that are none of ours do no harm
+    Given a fleet of one worker and 2 entries
+    When 300 generated datagrams are sent to entry "f1"
+    Then entry "f1" still serves
+
+  Scenario: The limit follows the pauses between events
+    When a group's pauses are 0.2 s for 3 s where 0.12 s is good
+    Then its limit has come down to the least
+    When a group's pauses are 0.05 s for 8 s where 0.12 s is good
+    Then its limit has come up to the whole
+
+  Scenario: Entries by themselves find the number of streams that keeps pace
+    When 7 entries follow a group whose pause grows with its streams
+    Then the pause stays within the good one for 9 of 10 steps after 3 s
+    And at least 6 of 10 slots that the pause allows are in use
+
+  Scenario: How much may wait at an upstream follows from how long work takes
+    Then 6 slots taken for 2.0 s let none wait where 0.4 s is wanted
+    And 6 slots taken for 0.02 s let 6 wait where 0.1 s is wanted
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -63,7 +63,7 @@
 
 
 # Requests that an entry lets a worker of 6 slots have.
-FILLED = 7
+FILLED = 6
 
 
 def _send(conn, headers, path, body=b"once", method="POST"):
--- a/packages/reelscale-core/src/reelscale_core/route.py
+++ b/packages/reelscale-core/src/reelscale_core/route.py
@@ -57,6 +57,7 @@
       shares: Where its requests go.
       timeout_s: Longest time that a request is held, in seconds.
       goal_s: Time in which an answer, or its first event, should come.
+      pause_s: Longest good pause between events of a stream, 0 for any.
       attempts: Most upstreams that one request is sent to.
       priority: Class of its requests, 0 the most urgent; None if the
         workspace's counts.
@@ -71,6 +72,7 @@
     shares: tuple[Share, ...]
     timeout_s: float
     goal_s: float = 0.0
+    pause_s: float = 0.0
     attempts: int = 1
     priority: int | None = None
     public: bool = False
--- a/packages/reelscale-core/src/reelscale_core/settings.py
+++ b/packages/reelscale-core/src/reelscale_core/settings.py
@@ -54,6 +54,7 @@
     snapshot_every: int
     adapter: str
     health: str
+    usage: str
     grace: timedelta
     retry_ratio: float
     log_json: bool
@@ -86,6 +87,10 @@
         own = not document.get("adapter")
         if role == "entry" and own and not document.get("operators"):
             found.append(error.Fault("/operators", "at least one operator"))
+        for name in ("health", "usage"):
+            if not own and not document.get(name):
+                place = "an address, as there is an adapter"
+                found.append(error.Fault(f"/{name}", place))
     if found:
         raise error.CodedError(
             "bad-document",
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -20,12 +20,15 @@
     rendezvous,
     routing,
 )
+from reelscale_core import pace as paces
+from reelscale_core import state as states
 from twisted.internet import defer, task
 
 from .. import logs
 from ..adapters import base
 from ..exchange import pool
-from . import config
+from ..filters import call
+from . import config, usage
 
 LOG = logs.Part("directory")
 # Between two reads, in seconds: many upstreams start or leave together, and
@@ -35,9 +38,11 @@
 # What an upstream told of its load counts for this long, in seconds; a
 # request of a stream takes about that.
 LOAD_FRESH_S = 1.0
-# An entry lets an upstream have this many requests for each of its slots;
-# more would only wait there, fewer leave slots empty while reports lag.
-FILL = 1.25
+# Requests may wait at an upstream for this part of the time in which an
+# answer is wanted; the rest is for the work itself.
+WAIT_SHARE = 0.3
+# Weight of the newest in the smoothed time that a request takes.
+SMOOTHING = 0.1
 # What a whole slot's load more weighs, in milliseconds, beside distance.
 SLOT_MS = 40.0
 # After the store was away, an upstream that is no longer listed is kept
@@ -56,6 +61,7 @@
       load: What its newest answer told of its load.
       load_at: Monotonic seconds at which that came.
       own_then: Requests of this entry in progress there at that time.
+      others_then: Those of other entries at that time.
       gone: Whether it is no longer listed.
       tie: Settles ties between upstreams, for this entry alone.
     """
@@ -66,34 +72,51 @@
     load: announcement.Load | None = None
     load_at: float = float("-inf")
     own_then: int = 0
+    others_then: int = 0
     gone: bool = False
     tie: int = 0
 
-    def candidate(self, now: float) -> routing.Candidate:
-        """Return what routing looks at."""
+    def candidate(
+        self, now: float, *, others: int, waiting: int
+    ) -> routing.Candidate:
+        """Return what routing looks at.
+
+        Args:
+          now: Monotonic seconds.
+          others: Requests that other entries have there.
+          waiting: Requests that may wait there.
+        """
         up = self.upstream
-        fresh = self.load is not None and now - self.load_at < LOAD_FRESH_S
-        running = self.load.running if fresh else self.own
-        queued = self.load.waiting if fresh else 0
-        own_then = self.own_then if fresh else self.own
-        expected = running + queued + max(0, self.own - own_then)
-        room = int(up.slots * FILL) - expected
+        expected = max(self.own + others, self._reported(now, others))
+        room = up.slots + waiting - expected
         return routing.Candidate(
             name=up.name,
             hall=up.hall,
             slots=self.own + max(0, room),
             until=float("inf"),
             own=self.own,
-            own_reported=own_then,
-            running=running,
-            queued=queued,
+            own_reported=self.own,
+            running=min(expected, up.slots),
+            queued=max(0, expected - up.slots),
             capacity=up.slots,
             step_ms=SLOT_MS,
-            reported_at=self.load_at if fresh else now,
+            reported_at=now,
             allowed=circuit.allows(self.breaker, now),
             tie=self.tie,
         )
 
+    def _reported(self, now: float, others: int) -> int:
+        """Return what its newest answer says it has, and what came since.
+
+        It may have more than the entries know of: requests of one that has
+        just died, or that a caller has left.
+        """
+        if self.load is None or now - self.load_at > LOAD_FRESH_S:
+            return 0
+        then = self.own_then + self.others_then
+        since = self.own + others - then
+        return self.load.running + self.load.waiting + since
+
 
 class Directory:
     """Keeps the views of all upstreams, by what the platform lists."""
@@ -105,6 +128,7 @@
         clock: clock.Clock,
         roster: base.Roster,
         connections: pool.Pool,
+        usage: usage.Usage,
         name: str,
     ) -> None:
         self.views_by_name: dict[str, View] = {}
@@ -115,6 +139,10 @@
         self._clock = clock
         self._roster = roster
         self._connections = connections
+        self._usage = usage
+        self._goal_s: dict[str, float] = {}
+        self._takes_s: dict[str, float] = {}
+        self._pace_by_target: dict[str, paces.Pace] = {}
         self._name = name
         self._next = 0
         self._regained_at = float("-inf")
@@ -139,13 +167,41 @@
     def candidates(self, target: str) -> list[routing.Candidate]:
         """Return the upstreams that may get new work of a target."""
         now = self._clock.monotonic()
-        return [
-            view.candidate(now)
+        wait_s = self._goal_s.get(target, 0.0) * WAIT_SHARE
+        takes_s = self._takes_s.get(target)
+        found = [
+            view.candidate(
+                now,
+                others=self._usage.others(view.upstream.name),
+                waiting=may_wait(view.upstream.slots, wait_s, takes_s),
+            )
             for view in self.views_by_name.values()
             if view.upstream.target == target
             and not view.upstream.leaving
             and not view.gone
         ]
+        if _used(found) < self._pace(target).limit:
+            return found
+        return [item._replace(slots=item.own) for item in found]
+
+    def note_pause(self, asked: call.Call, pause_s: float) -> None:
+        """Take the pause between two events of a stream."""
+        longest_s = asked.route.pause_s
+        if not longest_s:
+            return
+        target = asked.target
+        now = self._clock.monotonic()
+        pace = self._pace(target)
+        self._pace_by_target[target] = paces.observed(
+            pace,
+            pause_s,
+            longest_s=longest_s,
+            used=_used(self.candidates(target)),
+            now=now,
+        )
+
+    def _pace(self, target: str) -> paces.Pace:
+        return self._pace_by_target.get(target, paces.Pace())
 
     def reachable(self, target: str) -> bool:
         """Tell whether any upstream of a target is listed."""
@@ -165,6 +221,25 @@
         view.load = load
         view.load_at = self._clock.monotonic()
         view.own_then = view.own
+        view.others_then = self._usage.others(name)
+
+    def note_taken(self, target: str, seconds: float) -> None:
+        """Take how long an upstream took for a whole answer."""
+        old = self._takes_s.get(target, seconds)
+        self._takes_s[target] = old + SMOOTHING * (seconds - old)
+
+    def follow(self, state: states.State) -> None:
+        """Take from the configuration how soon answers are wanted."""
+        self._goal_s = {}
+        for item in state.routes_by_name.values():
+            for share in item.shares:
+                goal_s = self._goal_s.get(share.target, item.goal_s)
+                self._goal_s[share.target] = min(goal_s, item.goal_s)
+
+    def counts(self) -> dict[str, int]:
+        """Return this entry's requests in progress by upstream."""
+        views = self.views_by_name.items()
+        return {name: view.own for name, view in views if view.own}
 
     async def _read(self) -> None:
         wait_s = config.POLL_S if self.ready else 0.0
@@ -247,3 +322,23 @@
 
     def _pause(self, seconds: float) -> defer.Deferred:
         return task.deferLater(self._reactor, seconds)
+
+
+def may_wait(slots: int, wait_s: float, takes_s: float | None) -> int:
+    """Return how many requests may wait at an upstream for a slot.
+
+    Args:
+      slots: Requests that it works on at once.
+      wait_s: How long a request may wait there.
+      takes_s: How long one takes, None while that is not known.
+    """
+    if not takes_s:
+        return 0
+    return min(slots, int(wait_s * slots / takes_s))
+
+
+def _used(candidates: list[routing.Candidate]) -> float:
+    """Return the part of the slots of all that is in use."""
+    slots = sum(item.capacity for item in candidates)
+    used = sum(item.running + item.queued for item in candidates)
+    return used / slots if slots else 0.0
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -0,0 +1,226 @@
+"""What entries tell each other of the requests that they have in progress.
+
+Each entry sends its counts by upstream to all others, as datagrams: soon
+after a change, and now and then without one.  A datagram holds all counts,
+so that a lost one is made up by the next.  Together they tell how full every
+upstream is some tens of milliseconds ago, which the upstreams' own answers
+tell each entry only now and then.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import dataclasses
+import zlib
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from reelscale_core import clock
+from reelscale_wire import datagram
+from reelscale_wire.gen import ttypes
+from twisted.internet import protocol, task
+
+from .. import logs
+
+LOG = logs.Part("usage")
+# A change is told this soon, in seconds; changes in between go together.
+# Twice the delay between halls and a tenth of the time that a request for a
+# model may wait at an entry.
+TOLD_AFTER_S = 0.02
+# With many entries each tells less often, so that what all receive grows
+# with their number and not with its square: seconds for each other entry.
+TOLD_AFTER_EACH_S = 0.006
+# Without a change an entry tells its counts this often, in seconds.
+TOLD_EVERY_S = 0.5
+# An entry that was silent for this long is taken to be gone, in seconds:
+# three datagrams in a row were lost, or its process has ended.
+SILENT_S = 1.6
+# A datagram with more than this many bytes may be cut on its way.
+LARGEST = 1400
+KNOWN_TOLD = 40
+
+
+@dataclasses.dataclass(kw_only=True)
+class Peer:
+    """Another entry, as its newest datagram told.
+
+    Attributes:
+      name: Its name.
+      incarnation: Its start.
+      number: Number of the datagram.
+      counts: Requests in progress by hash of an upstream.
+      heard_at: Monotonic seconds at which it came.
+      address: Where it came from.
+    """
+
+    name: str
+    incarnation: str
+    number: int
+    counts: Mapping[int, int]
+    heard_at: float
+    address: str
+
+
+class Usage(protocol.DatagramProtocol):
+    """Tells this entry's counts and keeps those of others."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        name: str,
+        incarnation: str,
+        address: str,
+        peers: Iterable[str],
+        counts: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Make it; start() begins to tell.
+
+        Args:
+          reactor: The loop.
+          clock: The time.
+          name: Name of this entry.
+          incarnation: This start of it.
+          address: "ip:port" for datagrams; entries share the port.
+          peers: Addresses of some other entries; their ports do not count.
+          counts: Gives this entry's requests in progress by upstream.
+        """
+        self.on_change: Callable[[], None] = lambda: None
+        self._reactor = reactor
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._address = address
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        hosts = {peer.rpartition(":")[0] for peer in peers}
+        self._told_first = sorted(hosts - {self._host})
+        self._counts = counts
+        self._peers: dict[str, Peer] = {}
+        self._totals: dict[int, int] = {}
+        self._number = 0
+        self._due: Any = None
+        self._loop = task.LoopingCall(self._tell)
+
+    def start(self) -> None:
+        """Listen, and tell the counts from now on."""
+        self._reactor.listenUDP(self._port, self, interface=self._host)
+        self._loop.start(TOLD_EVERY_S)
+
+    def stop(self) -> None:
+        """Tell nothing more; others notice by the silence."""
+        if self._loop.running:
+            self._loop.stop()
+        if self._due is not None and self._due.active():
+            self._due.cancel()
+
+    @property
+    def entries(self) -> int:
+        """Return how many entries are known to live, this one included."""
+        return len(self._peers) + 1
+
+    def others(self, upstream: str) -> int:
+        """Return the requests that other entries have at an upstream."""
+        return self._totals.get(key_of(upstream), 0)
+
+    def changed(self) -> None:
+        """Tell the counts soon."""
+        if self._due is not None and self._due.active():
+            return
+        after_s = TOLD_AFTER_S + TOLD_AFTER_EACH_S * len(self._peers)
+        self._due = self._reactor.callLater(after_s, self._tell)
+
+    def datagramReceived(  # noqa: N802
+        self, data: bytes, address: tuple[str, int]
+    ) -> None:
+        """Take what another entry tells."""
+        told = datagram.decode(data, ttypes.Usage)
+        if told is None or not _whole(told) or told.name == self._name:
+            return
+        old = self._peers.get(told.name)
+        if old is not None and old.incarnation == told.incarnation:
+            if told.number <= old.number:
+                return
+        if old is None:
+            LOG.info("An entry is known.", name=told.name, address=address[0])
+        self._peers[told.name] = Peer(
+            name=told.name,
+            incarnation=told.incarnation,
+            number=told.number,
+            counts=told.counts,
+            heard_at=self._clock.monotonic(),
+            address=address[0],
+        )
+        self._learn(told.known)
+        self._sum_up()
+
+    def _learn(self, hosts: Iterable[str]) -> None:
+        """Tell entries that others know of, too."""
+        known = {peer.address for peer in self._peers.values()}
+        new = set(hosts) - known - {self._host} - set(self._told_first)
+        for host in sorted(new):
+            self._send(host, self._message())
+
+    def _tell(self) -> None:
+        """Send the counts to all that are known."""
+        self._forget_silent()
+        data = self._message()
+        hosts = {peer.address for peer in self._peers.values()}
+        for host in hosts.union(self._told_first):
+            self._send(host, data)
+
+    def _message(self) -> bytes:
+        self._number += 1
+        counts = {key_of(k): n for k, n in self._counts().items() if n}
+        known = sorted({peer.address for peer in self._peers.values()})
+        told = ttypes.Usage(
+            name=self._name,
+            incarnation=self._incarnation,
+            number=self._number,
+            counts=counts,
+            known=known[:KNOWN_TOLD],
+        )
+        return datagram.encode(told)
+
+    def _send(self, host: str, data: bytes) -> None:
+        if self.transport is None or len(data) > LARGEST:
+            return
+        try:
+            self.transport.write(data, (host, self._port))
+        except OSError as failed:
+            # The next datagram makes up for it; a cut shows as silence.
+            LOG.warning("Cannot tell.", host=host, reason=repr(failed))
+
+    def _forget_silent(self) -> None:
+        now = self._clock.monotonic()
+        for peer in list(self._peers.values()):
+            if now - peer.heard_at > SILENT_S:
+                del self._peers[peer.name]
+                LOG.info(
+                    "An entry is silent; its requests no longer count.",
+                    name=peer.name,
+                    requests=sum(peer.counts.values()),
+                )
+                self._sum_up()
+
+    def _sum_up(self) -> None:
+        totals: dict[int, int] = {}
+        for peer in self._peers.values():
+            for key, count in peer.counts.items():
+                totals[key] = totals.get(key, 0) + count
+        self._totals = totals
+        self.on_change()
+
+
+def _whole(told: ttypes.Usage) -> bool:
+    """Tell whether a datagram holds all that it should."""
+    fields = (told.name, told.incarnation, told.number)
+    return None not in (*fields, told.counts, told.known)
+
+
+def key_of(upstream: str) -> int:
+    """Return the hash by which datagrams name an upstream."""
+    return zlib.crc32(upstream.encode()) - (1 << 31)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -130,6 +130,7 @@
     conn: connection.Connection,
     name: str,
 ) -> None:
+    began = given.clock.monotonic()
     answered = given.dialect.answer(await conn.head())
     if answered.load is not None:
         given.membership.note_load(name, answered.load)
@@ -152,6 +153,7 @@
     else:
         await _relay_whole(asked, given, out, conn, answered, name)
     given.note_success(name)
+    given.membership.note_taken(asked.target, given.clock.monotonic() - began)
 
 
 def _is_stream(answered: base.Answered) -> bool:
@@ -218,6 +220,7 @@
 ) -> None:
     """Relay a stream event by event, from the last that the caller has."""
     cutter = events.Cutter()
+    last_at: float | None = None
     while (piece := await conn.chunk()) is not None:
         await out.drained()
         whole = cutter.feed(piece)
@@ -228,6 +231,10 @@
             parts.note_first_byte(asked, given)
             out.begin(answered.status, answered.headers)
         out.write([item.data for item in whole])
+        now = given.clock.monotonic()
+        if last_at is not None:
+            given.membership.note_pause(asked, now - last_at)
+        last_at = now
         out.events += len(whole)
         out.last_id = whole[-1].id
     if cutter.rest:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -139,6 +139,7 @@
         self.decisions: collections.OrderedDict[str, Decision] = (
             collections.OrderedDict()
         )
+        self.on_own_change: Callable[[], None] = lambda: None
         self._numbers = itertools.count(1)
         self._queues: dict[str, admission.Queue] = {}
         self._workspace_by_digest: dict[str, str] = {}
@@ -200,6 +201,7 @@
         view = self.membership.views_by_name[asked.choice.name]
         view.own += 1
         view.breaker = circuit.sent(view.breaker)
+        self.on_own_change()
 
     def release(self, asked: call.Call) -> None:
         """Give the slot of a request back and let the next one go."""
@@ -209,6 +211,7 @@
         asked.choice = None
         if view is not None:
             view.own -= 1
+            self.on_own_change()
         self.pump()
 
     def pump(self) -> None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -16,7 +16,7 @@
 
 from . import callers, health, ingress, logs, metrics, process
 from .adapters import base
-from .controllers import directory
+from .controllers import directory, usage
 from .exchange import pool
 from .filters import admit, direct, limit, parts, relay, routed
 
@@ -49,11 +49,21 @@
             clock=now,
         )
         self._metrics = metrics.Metrics()
+        self._usage = usage.Usage(
+            reactor=reactor,
+            clock=now,
+            name=settings.name,
+            incarnation=self._base.incarnation,
+            address=settings.usage,
+            peers=settings.peers,
+            counts=lambda: self._directory.counts(),
+        )
         self._directory = directory.Directory(
             reactor=reactor,
             clock=now,
             roster=self._adapter.roster,
             connections=self._connections,
+            usage=self._usage,
             name=settings.name,
         )
         self._parts = parts.Parts(
@@ -78,6 +88,9 @@
             body_bytes=settings.body_bytes,
         )
         self._base.config.listen(self._follow)
+        self._base.config.listen(self._directory.follow)
+        self._parts.on_own_change = self._usage.changed
+        self._usage.on_change = self._parts.pump
 
     async def start(self) -> None:
         """Serve callers, peers and probes."""
@@ -87,6 +100,7 @@
         await own.listen(own.settings.peer, link.Server(handler=self))
         await own.listen(own.settings.health, self._probes())
         await own.listen(own.settings.http, self._ingress)
+        self._usage.start()
         defer.ensureDeferred(own.config.run())
         defer.ensureDeferred(self._directory.run())
         LOG.info(
@@ -111,6 +125,7 @@
         while self._parts.running and own.clock.monotonic() < end_by:
             await task.deferLater(own.reactor, STOP_POLL_S)
             self._ingress.close_idle()
+        self._usage.stop()
         self._directory.stop()
         own.config.stop()
         LOG.info("Stopped.", broken_off=self._parts.running)
--- a/packages/reelscale-daemon/src/reelscale_daemon/logs.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/logs.py
@@ -1,17 +1,33 @@
-"""Logs: short sentences with a fixed prefix for each part.
+"""Logs: one JSON object a line, or short sentences, that never hold work up.
 
-Fields that a machine may want follow the sentence as key=value, or stand
-apart in JSON lines when the settings ask for those.
+Every line has the part that wrote it, a sentence that never changes, and
+fields.  JSON lines go to standard output, as the operators' engineers ask;
+their letter goes before the house style, which has absl write to standard
+error.  A reader that stops reading costs lines, never service: what does not
+fit at once is left out, and the next line that fits says how many were.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-import json
 import logging as python_logging
+import os
+import select
+import time
+from collections.abc import Callable
 from typing import Any
 
+import orjson
 from absl import flags, logging
+from twisted import logger as twisted_logger
+
+# Lines a second that one process writes at most; a busy entry ends some 200
+# requests a second, and two lines a request are usual.
+LINES_PER_S = 400
+# A pipe that can be written to takes this many bytes without waiting
+# (PIPE_BUF of POSIX); a longer line is cut to fit.
+LONGEST_LINE = 4096
+STDOUT = 1
 
 
 class Part:
@@ -60,7 +76,7 @@
 
     def format(self, record: python_logging.LogRecord) -> str:
         """Return a record as a JSON line."""
-        data = {
+        data: dict[str, Any] = {
             "time": record.created,
             "level": record.levelname,
         }
@@ -68,16 +84,92 @@
             line = record.args[0]
             data |= {"part": line.part, "text": line.sentence, **line.fields}
         else:
-            data["text"] = record.getMessage()
-        return json.dumps(data, default=str)
+            data |= {"part": record.name, "text": record.getMessage()}
+        return orjson.dumps(data, default=str).decode()
+
+
+class BoundedHandler(python_logging.Handler):
+    """Writes lines to a descriptor without waiting, so many a second."""
+
+    def __init__(
+        self,
+        *,
+        descriptor: int = STDOUT,
+        clock: Callable[[], float] = time.monotonic,
+        lines_per_s: int = LINES_PER_S,
+    ) -> None:
+        super().__init__()
+        self.setFormatter(JsonFormatter())
+        self.left_out = 0
+        self._descriptor = descriptor
+        self._clock = clock
+        self._per_s = lines_per_s
+        self._allowance = float(lines_per_s)
+        self._at = clock()
+
+    def emit(self, record: python_logging.LogRecord) -> None:
+        """Write a record, or count it as left out."""
+        if not self._allowed() or not self._write(self.format(record)):
+            self.left_out += 1
+            return
+        if self.left_out and self._write(self._note()):
+            self.left_out = 0
+
+    def _allowed(self) -> bool:
+        now = self._clock()
+        earned = (now - self._at) * self._per_s
+        self._at = now
+        self._allowance = min(self._allowance + earned, self._per_s)
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _note(self) -> str:
+        """Return the line that says how many were left out."""
+        data = {
+            "time": time.time(),
+            "level": "WARNING",
+            "part": "logs",
+            "text": "Lines were left out.",
+            "lines": self.left_out,
+        }
+        return orjson.dumps(data).decode()
+
+    def _write(self, text: str) -> bool:
+        """Write a line if that needs no waiting; tell whether it did."""
+        _, writable, _ = select.select([], [self._descriptor], [], 0)
+        if not writable:
+            return False
+        data = text.encode()[: LONGEST_LINE - 1] + b"\n"
+        try:
+            return os.write(self._descriptor, data) == len(data)
+        except OSError:
+            # There is nobody to tell: the reader of the log has gone.
+            return False
 
 
 def start(*, as_json: bool) -> None:
-    """Send logs to standard error, as text or as JSON lines."""
+    """Send logs to standard error as text, or to standard output as JSON."""
     # absl logs to standard error only until its flags are parsed.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
     if as_json:
-        logging.get_absl_handler().setFormatter(JsonFormatter())
+        handler = BoundedHandler()
+        root = python_logging.getLogger()
+        root.handlers = [handler]
+        logging.get_absl_logger().handlers = []
+        logging.get_absl_logger().propagate = True
+    observer = twisted_logger.FilteringLogObserver(
+        twisted_logger.STDLibLogObserver(),
+        (
+            twisted_logger.LogLevelFilterPredicate(
+                twisted_logger.LogLevel.warn
+            ),
+        ),
+    )
+    twisted_logger.globalLogBeginner.beginLoggingTo(
+        [observer], redirectStandardIO=False
+    )
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -154,6 +154,15 @@
   3: i64 since_ms,         // Wall time from which memory is complete.
 }
 
+// Sent between entries as a datagram; a lost one is made up by the next.
+struct Usage {
+  1: string name,          // The entry that sends it.
+  2: string incarnation,
+  3: i64 number,           // Rises with each one sent.
+  4: map<i32, i32> counts, // Requests in progress, by hash of an upstream.
+  5: list<string> known,   // Addresses of entries that the sender knows.
+}
+
 service Peer {
   Pulse heartbeat(1: Heartbeat beat),
   StateReply state(1: StateRequest request),
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -1900,6 +1900,125 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Usage(object):
+    """
+    Attributes:
+     - name
+     - incarnation
+     - number
+     - counts
+     - known
+
+    """
+
+
+    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None,):
+        self.name = name
+        self.incarnation = incarnation
+        self.number = number
+        self.counts = counts
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.counts = {}
+                    (_ktype45, _vtype46, _size44) = iprot.readMapBegin()
+                    for _i48 in range(_size44):
+                        _key49 = iprot.readI32()
+                        _val50 = iprot.readI32()
+                        self.counts[_key49] = _val50
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Usage')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.MAP, 4)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.counts))
+            for kiter57, viter58 in self.counts.items():
+                oprot.writeI32(kiter57)
+                oprot.writeI32(viter58)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.known))
+            for iter59 in self.known:
+                oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Header)
 Header.thrift_spec = (
     None,  # 0
@@ -2062,5 +2181,14 @@
     (2, TType.BOOL, 'released', None, None, ),  # 2
     (3, TType.I64, 'since_ms', None, None, ),  # 3
 )
+all_structs.append(Usage)
+Usage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.MAP, 'counts', (TType.I32, None, TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'known', (TType.STRING, 'UTF8', False), None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -98,6 +98,9 @@
             }
             self.whole(json.dumps(ledger).encode())
             return
+        if path == "/control":
+            self.whole(b"{}")
+            return
         wanted = self.header("expect-instance")
         if wanted and wanted != self.worker.id:
             self.head(421, [("Instance-Id", self.worker.id)], b"")
