Hear a silent store again at once; leave a group alone that refuses as a whole

The store was silent until 26.0 s; a read that waits 3 s had begun just before and was deaf until 29.9 s, so version 23, acknowledged at 26.6 s, came into force 0.7 s too late. Ruled out: the fold and the peers (the log of front-qc-est-c-2 shows the read). Change: reads do not wait while the store fails, polls are 2.2 s with 0.75 s of margin, peers are asked beside the reads and not between them, and the datagrams of entries carry the offset in force, so that one who cannot reach the store follows the others.

Cause 2: while a zone is cut all ranks refuse; entries asked two of them for each request, always the same two, and told callers to come back in 1 to 2 s, into the same outage. Change: after refusals of three different upstreams a group is out; one request in 0.25 s is let through, others are refused at once and told to come back after a third of what they have left. An upstream that has refused is asked after others.

Also: one log line for each request that has ended, with what decided it.

--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -84,3 +84,15 @@
     Given a fleet of its own with full workers
     When a client sends and leaves while it waits
     Then no worker gets the request
+
+  Scenario: A group that refuses as a whole is left alone
+    Given a fleet of one group of 4 workers that all refuse
+    When 30 streams are asked for one after the other
+    Then all are refused as not run, most without asking a worker
+    And they are told to come back after a third of their time
+    When the group takes work again
+    Then a stream is served within 2 s
+
+  Scenario: A single worker that refuses is no outage of its group
+    When a client streams "/chat/shed"
+    Then the stream has every event once, in order, and ends whole
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -74,3 +74,15 @@
     And records that are gone are named by the lowest kept offset
     And the newest record of each key comes in pages
     And members of a group share the partitions out
+
+  Scenario: A store that was silent is heard again at once
+    Given a fleet of its own
+    When the store is down, silent
+    And the store is silent for 5 s more and then back
+    And the operator replaces the keys by "fresh-key"
+    Then the key "fresh-key" is served within 2 s
+
+  Scenario: An entry that cannot reach the store follows its peers
+    Given a fleet whose entry "f2" has a store that does not answer
+    When the operator replaces the keys by "fresh-key"
+    Then entry "f2" has the version of its peer within 3 s
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -480,6 +480,50 @@
     process.wait_for(closed, "the stream to be closed", 1.5)
 
 
+@given("a fleet of one group of {count:d} workers that all refuse")
+def _(context, count):
+    workers = (("llm", "a"),) * count
+    context.cluster = fleet.Fleet(workers=workers).__enter__()
+
+
+@when("{count:d} streams are asked for one after the other")
+def _(context, count):
+    made = context.cluster
+    context.answers = [made.ask("/chat/shed") for _ in range(count)]
+
+
+@then("all are refused as not run, most without asking a worker")
+def _(context):
+    statuses = {answer.status_code for answer in context.answers}
+    assert statuses == {503}, statuses
+    made = context.cluster
+    asked = sum(made.worker(name)["shed"] for name in made.workers)
+    # The first two find it out with two attempts each; then one in 0.25 s.
+    assert asked < len(context.answers) // 2, asked
+
+
+@then("they are told to come back after a third of their time")
+def _(context):
+    after = float(context.answers[-1].headers["retry-after"])
+    # The route allows 4 s.
+    assert 1.0 < after <= 4.0 / 3, after
+
+
+@when("the group takes work again")
+def _(context):
+    made = context.cluster
+    for name in made.workers:
+        made.set_faulty(name, False)
+
+
+@then("a stream is served within {seconds:d} s")
+def _(context, seconds):
+    made = context.cluster
+    process.wait_for(
+        lambda: made.ask("/chat/shed").is_success, "a stream", seconds
+    )
+
+
 @when("a client sends and leaves while it waits")
 def _(context):
     made = context.cluster
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -3,6 +3,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import json
 import time
 
 from behave import given, then, when
@@ -10,6 +11,7 @@
 from reelscale_platform import store as stores
 from twisted.internet import defer, reactor, task
 
+from features.steps import platform_steps
 from standins import fleet, process
 from standins import store as standin
 
@@ -172,6 +174,35 @@
     assert _status(context) == 503
 
 
+@when("the store is silent for {seconds:d} s more and then back")
+def _(context, seconds):
+    time.sleep(seconds)
+    context.cluster.control(down="")
+
+
+@given('a fleet whose entry "{name}" has a store that does not answer')
+def _(context, name):
+    made = fleet.Fleet(entries=2)
+    context.cluster = made
+    data, path = platform_steps.settings_file(made, name)
+    nobody = f"127.0.0.1:{process.free_port()}"
+    path.write_text(json.dumps({**data, "platform": f"http://{nobody}"}))
+    made.start(wait=("f1",))
+
+
+@then('entry "{name}" has the version of its peer within {seconds:d} s')
+def _(context, name, seconds):
+    made = context.cluster
+
+    def taken():
+        return any(
+            row.get("version") == made.config["version"]
+            for row in made.log_lines(name)
+        )
+
+    process.wait_for(taken, "the version", seconds)
+
+
 # The store's client by itself.
 
 
--- a/packages/reelscale-core/src/reelscale_core/routing.py
+++ b/packages/reelscale-core/src/reelscale_core/routing.py
@@ -20,6 +20,9 @@
 PREFIX_MS = 40.0
 # A session stays at its home unless waiting there costs more than this.
 SESSION_MS = 400.0
+# One that has refused a request lately is asked after others that have not,
+# unless waiting there costs more than this many milliseconds.
+REFUSED_MS = 60.0
 # A request waits about this long for each one ahead of it in a queue.
 QUEUE_MS = 30.0
 # A report older than this says nothing of its own.
@@ -42,6 +45,7 @@
       step_ms: Reported time of a step.
       reported_at: Monotonic seconds of the report.
       allowed: Whether the circuit lets a request through.
+      refused: Whether it has refused a request lately.
       tie: Settles ties, by entry, so that entries do not crowd together.
     """
 
@@ -57,6 +61,7 @@
     step_ms: float
     reported_at: float
     allowed: bool = True
+    refused: bool = False
     tie: int = 0
 
 
@@ -135,6 +140,7 @@
     def score(item: Candidate) -> tuple[float, int, str]:
         cost = wait_ms(item, now)
         cost += OTHER_HALL_MS if item.hall != wish.hall else 0.0
+        cost += REFUSED_MS if item.refused else 0.0
         cost -= SESSION_MS if item.name == home else 0.0
         cost -= PREFIX_MS if item.name == warm else 0.0
         return cost, item.tie, item.name
--- a/packages/reelscale-daemon/src/reelscale_daemon/callers.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/callers.py
@@ -3,6 +3,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import math
 from typing import Any
 
 from reelscale_core import error, settings
@@ -50,6 +51,7 @@
             await chain.run(asked, self._given)
         except error.CodedError as refused:
             asked.outcome, asked.code = refused.outcome, refused.code
+            asked.retry_after_s = refused.retry_after_s
             if not asked.left:
                 self._surface.refuse(asked.http, refused, request_id=asked.id)
         except writer.BrokenError as broken:
@@ -72,6 +74,7 @@
         outcome = {"outcome": asked.outcome, "code": asked.code}
         given.metrics.requests.inc({**labels, **outcome})
         now = given.clock.monotonic()
+        _log_end(asked, now)
         given.metrics.whole.observe(labels, now - asked.arrived_at)
         if asked.first_byte_at is not None:
             first_s = asked.first_byte_at - asked.arrived_at
@@ -133,6 +136,32 @@
         return min(max(asked_s, 0.0), LONGEST_DEADLINE_S)
 
 
+def _log_end(asked: call.Call, now: float) -> None:
+    """Write the line from which a failure is explained afterwards."""
+    LOG.info(
+        "A request has ended.",
+        request=asked.id,
+        workspace=asked.workspace.name if asked.workspace else "",
+        route=asked.route.name if asked.route else "",
+        target=asked.target,
+        outcome=asked.outcome,
+        code=asked.code,
+        attempts=asked.attempts,
+        events=asked.events,
+        first_s=_since(asked.first_byte_at, asked.arrived_at),
+        seconds=round(now - asked.arrived_at, 4),
+        left_s=_since(asked.end_by, now),
+        retry_after_s=asked.retry_after_s,
+    )
+
+
+def _since(at: float | None, start: float) -> float | None:
+    """Return seconds between two instants, if there are such."""
+    if at is None or at == math.inf:
+        return None
+    return round(at - start, 4)
+
+
 def _left(_: Any, asked: call.Call) -> None:
     """Note that a caller has gone before its answer was whole."""
     asked.left = True
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -25,9 +25,9 @@
 RETRY_S = 0.25
 # Seconds for which a read waits at the log for something new.  An answer
 # that is lost makes a process deaf for this long and the client's margin of
-# a second more, which must be less than the 5 s in which a configuration is
-# in force everywhere.
-POLL_S = 3.0
+# 0.75 s; together they are to be less than the 3 s for which the log must
+# have been sound before a configuration has to be in force.
+POLL_S = 2.2
 PEER_TIMEOUT_S = 2.0
 # Peers asked for their state at a time, so that an outage is no storm.
 PEERS_ASKED = 3
@@ -48,7 +48,21 @@
         peers: tuple[str, ...],
         snapshot_every: int,
         poll_s: float = POLL_S,
+        peer_lead_s: float | None = None,
     ) -> None:
+        """Make it; run() follows the log.
+
+        Args:
+          reactor: The loop.
+          clock: The time.
+          platform: The log.
+          links: Connections to peers.
+          peers: Addresses of some peers.
+          snapshot_every: Records after which a snapshot is written.
+          poll_s: How long a read waits at the log.
+          peer_lead_s: How long a peer may be ahead before its state is
+            taken while the log answers; None for as long as it answers.
+        """
         self.state = states.State()
         self.ready = False
         self.gap = False
@@ -66,7 +80,10 @@
         self._last_snapshot = 0
         self._listeners: list[Callable[[states.State], None]] = []
         self._waiters: list[tuple[Callable[[], Any], defer.Deferred]] = []
+        self._peer_lead_s = peer_lead_s
         self._pulling = False
+        self._asking = False
+        self._failing = False
         self._stopped = False
 
     def listen(self, listener: Callable[[states.State], None]) -> None:
@@ -90,9 +107,11 @@
         while not self._stopped:
             try:
                 await self._read()
+                self._failing = False
             except error.CodedError as down:
-                if self.log_age_s() > LOG_FRESH_S:
-                    await self._ask_peers(down)
+                self._failing = True
+                if self.log_age_s() > LOG_FRESH_S and not self._asking:
+                    defer.ensureDeferred(self._ask_peers(down))
                 await self._pause(RETRY_S * (1 + random.random()))
 
     async def settled(
@@ -130,9 +149,18 @@
         return find()
 
     def hear(self, peer: str, offset: int) -> None:
-        """Note a peer's offset; pull its state if it is ahead of the log."""
-        behind = offset > self.state.offset
-        if behind and self.log_age_s() > LOG_FRESH_S and not self._pulling:
+        """Note a peer's offset; pull its state if the log does not lead."""
+        if offset <= self.state.offset:
+            return
+        if self.log_age_s() > LOG_FRESH_S:
+            self._pull_if_behind(peer, offset)
+        elif self._peer_lead_s is not None:
+            self._reactor.callLater(
+                self._peer_lead_s, self._pull_if_behind, peer, offset
+            )
+
+    def _pull_if_behind(self, peer: str, offset: int) -> None:
+        if offset > self.state.offset and not self._pulling:
             defer.ensureDeferred(self._pull(peer))
 
     async def answer(self, have_offset: int) -> ttypes.StateReply:
@@ -155,7 +183,10 @@
         return self._dumped[1]
 
     async def _read(self) -> None:
-        wait_s = self._poll_s if self.ready else 0.0
+        # While the log fails, reads that wait would only notice late that it
+        # is back.
+        waits = self.ready and not self._failing
+        wait_s = self._poll_s if waits else 0.0
         got = await self._platform.read(self.state.offset + 1, wait_s=wait_s)
         self._log_at = self._clock.monotonic()
         self._down_said = False
@@ -241,8 +272,12 @@
         """Ask a few peers; ready once any has answered with a state."""
         heard = False
         known = sorted(self.peers)
-        for peer in random.sample(known, min(len(known), PEERS_ASKED)):
-            heard = await self._pull(peer) or heard
+        self._asking = True
+        try:
+            for peer in random.sample(known, min(len(known), PEERS_ASKED)):
+                heard = await self._pull(peer) or heard
+        finally:
+            self._asking = False
         self.ready = self.ready or heard
         if down is not None and self.ready and not self._down_said:
             self._down_said = True
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -43,6 +43,9 @@
 WAIT_SHARE = 0.3
 # Weight of the newest in the smoothed time that a request takes.
 SMOOTHING = 0.1
+# An upstream that refused a request is asked after others for this long, in
+# seconds; a slot of a busy group is free again within about that.
+REFUSED_S = 0.5
 # What a whole slot's load more weighs, in milliseconds, beside distance.
 SLOT_MS = 40.0
 # After the store was away, an upstream that is no longer listed is kept
@@ -62,6 +65,7 @@
       load_at: Monotonic seconds at which that came.
       own_then: Requests of this entry in progress there at that time.
       others_then: Those of other entries at that time.
+      refused_at: Monotonic seconds at which it last refused a request.
       gone: Whether it is no longer listed.
       tie: Settles ties between upstreams, for this entry alone.
     """
@@ -73,6 +77,7 @@
     load_at: float = float("-inf")
     own_then: int = 0
     others_then: int = 0
+    refused_at: float = float("-inf")
     gone: bool = False
     tie: int = 0
 
@@ -102,6 +107,7 @@
             step_ms=SLOT_MS,
             reported_at=now,
             allowed=circuit.allows(self.breaker, now),
+            refused=now - self.refused_at < REFUSED_S,
             tie=self.tie,
         )
 
@@ -223,6 +229,12 @@
         view.own_then = view.own
         view.others_then = self._usage.others(name)
 
+    def note_refused(self, name: str) -> None:
+        """Note that an upstream refused a request without running it."""
+        view = self.views_by_name.get(name)
+        if view is not None:
+            view.refused_at = self._clock.monotonic()
+
     def note_taken(self, target: str, seconds: float) -> None:
         """Take how long an upstream took for a whole answer."""
         old = self._takes_s.get(target, seconds)
@@ -242,7 +254,8 @@
         return {name: view.own for name, view in views if view.own}
 
     async def _read(self) -> None:
-        wait_s = config.POLL_S if self.ready else 0.0
+        waits = self.ready and not self._down
+        wait_s = config.POLL_S if waits else 0.0
         page = await self._roster.read(self._next, wait_s=wait_s)
         if self._down:
             self._down = False
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -76,6 +76,8 @@
         address: str,
         peers: Iterable[str],
         counts: Callable[[], Mapping[str, int]],
+        peer: str,
+        offset: Callable[[], int],
     ) -> None:
         """Make it; start() begins to tell.
 
@@ -87,7 +89,10 @@
           address: "ip:port" for datagrams; entries share the port.
           peers: Addresses of some other entries; their ports do not count.
           counts: Gives this entry's requests in progress by upstream.
+          peer: Address for calls of other entries to this one.
+          offset: Gives the offset of the configuration in force here.
         """
+        self.on_offset: Callable[[str, int], None] = lambda _peer, _at: None
         self.on_change: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._clock = clock
@@ -99,6 +104,8 @@
         hosts = {peer.rpartition(":")[0] for peer in peers}
         self._told_first = sorted(hosts - {self._host})
         self._counts = counts
+        self._peer = peer
+        self._offset = offset
         self._peers: dict[str, Peer] = {}
         self._totals: dict[int, int] = {}
         self._number = 0
@@ -154,6 +161,7 @@
             heard_at=self._clock.monotonic(),
             address=address[0],
         )
+        self.on_offset(told.peer, told.offset)
         self._learn(told.known)
         self._sum_up()
 
@@ -182,6 +190,8 @@
             number=self._number,
             counts=counts,
             known=known[:KNOWN_TOLD],
+            offset=self._offset(),
+            peer=self._peer,
         )
         return datagram.encode(told)
 
@@ -217,8 +227,8 @@
 
 def _whole(told: ttypes.Usage) -> bool:
     """Tell whether a datagram holds all that it should."""
-    fields = (told.name, told.incarnation, told.number)
-    return None not in (*fields, told.counts, told.known)
+    fields = (told.name, told.incarnation, told.number, told.counts)
+    return None not in (*fields, told.known, told.offset, told.peer)
 
 
 def key_of(upstream: str) -> int:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
@@ -51,6 +51,8 @@
       code: Error code, empty when all went well.
       first_byte_at: Monotonic seconds of the answer's first chunk.
       attempts: Upstreams tried, each with the reason it was chosen.
+      events: Events of a stream that the caller got.
+      retry_after_s: When it was told to come back, if it was refused.
     """
 
     http: Any
@@ -84,4 +86,6 @@
     outcome: str = ""
     code: str = ""
     first_byte_at: float | None = None
+    events: int = 0
+    retry_after_s: float | None = None
     attempts: list[str] = dataclasses.field(default_factory=list)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -134,7 +134,11 @@
     answered = given.dialect.answer(await conn.head())
     if answered.load is not None:
         given.membership.note_load(name, answered.load)
+    if not answered.not_run:
+        given.note_answered(asked)
     if answered.not_run:
+        given.note_refused(asked, name)
+        given.membership.note_refused(name)
         await _drain(conn)
         raise attempt.AttemptLostError(
             f"upstream-{answered.status}",
@@ -236,6 +240,7 @@
             given.membership.note_pause(asked, now - last_at)
         last_at = now
         out.events += len(whole)
+        asked.events = out.events
         out.last_id = whole[-1].id
     if cutter.rest:
         raise _garbled(conn, name)
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/outage.py
@@ -0,0 +1,28 @@
+"""Filter: while a whole group refuses work, so does the entry, at once."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from reelscale_core import error
+from reelscale_core import outage as outages
+
+from . import call, parts
+
+
+async def check_outage(asked: call.Call, given: parts.Parts) -> None:
+    """Refuse a request whose group is out, but for one now and then.
+
+    Raises:
+      CodedError: "group-out", 503, with when to come back.
+    """
+    if given.lets_through(asked):
+        return
+    now = given.clock.monotonic()
+    raise error.CodedError(
+        "group-out",
+        step="outage",
+        peer=asked.target,
+        status=503,
+        detail="all upstreams of this group refuse work",
+        retry_after_s=outages.retry_after_s(asked.end_by - now),
+    )
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -18,15 +18,17 @@
     routing,
     settings,
 )
+from reelscale_core import outage as outages
 from reelscale_core import state as states
 from reelscale_wire import link
 
-from .. import metrics
+from .. import logs, metrics
 from ..adapters import base
 from ..controllers import config
 from ..exchange import pool
 from . import call
 
+LOG = logs.Part("entry")
 DECISIONS_KEPT = 2000
 DEFAULT_RETRY_S = 1.0
 
@@ -140,6 +142,7 @@
             collections.OrderedDict()
         )
         self.on_own_change: Callable[[], None] = lambda: None
+        self._outage_by_target: dict[str, outages.Outage] = {}
         self._numbers = itertools.count(1)
         self._queues: dict[str, admission.Queue] = {}
         self._workspace_by_digest: dict[str, str] = {}
@@ -162,10 +165,49 @@
             self._queues[target] = found
         return found
 
+    def lets_through(self, asked: call.Call) -> bool:
+        """Tell whether a request may go to its group, or that is out.
+
+        Only groups of ranks go out as a whole; who is let through to see
+        whether one is back is noted.
+        """
+        if not asked.is_model:
+            return True
+        found = self._outage_by_target.get(asked.target, outages.Outage())
+        now = self.clock.monotonic()
+        if not outages.lets_through(found, now):
+            return False
+        if found.out:
+            self._outage_by_target[asked.target] = found._replace(tried_at=now)
+        return True
+
+    def out(self, asked: call.Call) -> bool:
+        """Tell whether the group of a request refuses work as a whole."""
+        found = self._outage_by_target.get(asked.target)
+        return asked.is_model and found is not None and found.out
+
+    def note_refused(self, asked: call.Call, upstream: str) -> None:
+        """Note that an upstream refused a request without running it."""
+        old = self._outage_by_target.get(asked.target, outages.Outage())
+        now = self.clock.monotonic()
+        new = outages.refused(old, upstream, now)
+        self._outage_by_target[asked.target] = new
+        if asked.is_model and new.out and not old.out:
+            LOG.warning("A group refuses work.", target=asked.target)
+
+    def note_answered(self, asked: call.Call) -> None:
+        """Note that an upstream took a request."""
+        old = self._outage_by_target.pop(asked.target, None)
+        if asked.is_model and old is not None and old.out:
+            LOG.info("A group takes work again.", target=asked.target)
+
     def retry_after_s(self, asked: call.Call) -> float:
         """Return when a refused caller should come back."""
         if not asked.target:
             return DEFAULT_RETRY_S
+        if self.out(asked):
+            left_s = asked.end_by - self.clock.monotonic()
+            return outages.retry_after_s(left_s)
         queue = self.queue(asked.target)
         name = asked.workspace.name
         return queue.retry_after_s(asked.id, name, asked.priority)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -91,6 +91,8 @@
     left_s = min(asked.deadline, asked.end_by) - now
     if asked.route is not None:
         left_s = asked.end_by - now
+    if given.out(asked):
+        raise _failure(asked, given, out, lost, ran)
     worth = retry.worth(
         attempts=tries,
         not_run=lost.not_run,
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -18,19 +18,23 @@
 from .adapters import base
 from .controllers import directory, usage
 from .exchange import pool
-from .filters import admit, direct, limit, parts, relay, routed
+from .filters import admit, direct, limit, outage, parts, relay, routed
 
 LOG = logs.Part("entry")
 STOP_POLL_S = 0.05
 CHAIN = (
     routed.find_route,
     limit.limit,
+    outage.check_outage,
     admit.admit,
     relay.relay,
 )
 # What is still in progress this long before the end of the grace time is
 # broken off, in seconds, so that the process ends by itself.
 STOP_MARGIN_S = 0.4
+# A peer that is ahead in the configuration for this long, in seconds, is
+# asked for it; entries that read the same record differ by some 0.05 s.
+PEER_LEAD_S = 0.3
 
 
 @implementer(Peer.Iface)
@@ -47,6 +51,7 @@
             settings=settings,
             platform=self._adapter.source,
             clock=now,
+            peer_lead_s=PEER_LEAD_S,
         )
         self._metrics = metrics.Metrics()
         self._usage = usage.Usage(
@@ -57,6 +62,8 @@
             address=settings.usage,
             peers=settings.peers,
             counts=lambda: self._directory.counts(),
+            peer=settings.peer,
+            offset=lambda: self._base.config.state.offset,
         )
         self._directory = directory.Directory(
             reactor=reactor,
@@ -91,6 +98,7 @@
         self._base.config.listen(self._directory.follow)
         self._parts.on_own_change = self._usage.changed
         self._usage.on_change = self._parts.pump
+        self._usage.on_offset = self._base.config.hear
 
     async def start(self) -> None:
         """Serve callers, peers and probes."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/process.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -38,6 +38,7 @@
         settings: settings.Settings,
         platform: Any,
         clock: clock.Clock,
+        peer_lead_s: float | None = None,
     ) -> None:
         self.reactor = reactor
         self.settings = settings
@@ -52,6 +53,7 @@
             links=self.links,
             peers=settings.peers,
             snapshot_every=settings.snapshot_every,
+            peer_lead_s=peer_lead_s,
         )
         self.stopping = False
         self._ports: list[Any] = []
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -160,7 +160,9 @@
   2: string incarnation,
   3: i64 number,           // Rises with each one sent.
   4: map<i32, i32> counts, // Requests in progress, by hash of an upstream.
-  5: list<string> known,   // Addresses of entries that the sender knows.
+  5: list<string> known,   // Hosts of entries that the sender knows.
+  6: i64 offset,           // Configuration in force at the sender.
+  7: string peer,          // Address for calls to the sender.
 }
 
 service Peer {
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -1910,16 +1910,20 @@
      - number
      - counts
      - known
+     - offset
+     - peer
 
     """
 
 
-    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None,):
+    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None, offset=None, peer=None,):
         self.name = name
         self.incarnation = incarnation
         self.number = number
         self.counts = counts
         self.known = known
+        self.offset = offset
+        self.peer = peer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1966,6 +1970,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.peer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2003,6 +2017,14 @@
                 oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 6)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.peer is not None:
+            oprot.writeFieldBegin('peer', TType.STRING, 7)
+            oprot.writeString(self.peer.encode('utf-8') if sys.version_info[0] == 2 else self.peer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2189,6 +2211,8 @@
     (3, TType.I64, 'number', None, None, ),  # 3
     (4, TType.MAP, 'counts', (TType.I32, None, TType.I32, None, False), None, ),  # 4
     (5, TType.LIST, 'known', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I64, 'offset', None, None, ),  # 6
+    (7, TType.STRING, 'peer', 'UTF8', None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -138,8 +138,12 @@
 
     # Life.
 
-    def start(self) -> None:
-        """Start everything; entries last, when there is something to know."""
+    def start(self, wait: tuple[str, ...] | None = None) -> None:
+        """Start everything; entries last, when there is something to know.
+
+        Args:
+          wait: Entries to wait for until they are ready; all if None.
+        """
         for name, process in self.processes.items():
             if name not in self.http:
                 process.start()
@@ -151,7 +155,7 @@
         self.configure(self.config)
         for name in self.http:
             self.processes[name].start()
-        for name in self.http:
+        for name in self.http if wait is None else wait:
             self.wait_ready(name)
 
     def _answers(self, address: str) -> bool:
@@ -231,6 +235,11 @@
         }
         self._append("keyed.servers", name, {**data, **fields})
 
+    def set_faulty(self, name: str, faulty: bool) -> None:
+        """Have a worker heed the words for faults, or not."""
+        url = f"http://{self.address[name]}/control"
+        self.client.post(url, json={"faulty": faulty}).raise_for_status()
+
     def withdraw(self, name: str) -> None:
         """Take a worker's entry away."""
         self._append("keyed.servers", name, None)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -34,6 +34,7 @@
         self.runs: list[dict[str, Any]] = []
         self.cancelled: list[str] = []
         self.accepted = 0
+        self.shed = 0
 
     def buildProtocol(self, address: Any) -> "Channel":  # noqa: N802
         """Return the protocol of a new connection."""
@@ -95,10 +96,13 @@
                 "runs": self.worker.runs,
                 "cancelled": self.worker.cancelled,
                 "accepted": self.worker.accepted,
+                "shed": self.worker.shed,
             }
             self.whole(json.dumps(ledger).encode())
             return
         if path == "/control":
+            data = json.loads(self.body or b"{}")
+            self.worker.faulty = data.get("faulty", self.worker.faulty)
             self.whole(b"{}")
             return
         wanted = self.header("expect-instance")
@@ -229,6 +233,12 @@
     channel.transport.abortConnection()
 
 
+def _shed(channel: Channel) -> None:
+    """Refuse as a full worker does."""
+    channel.worker.shed += 1
+    channel.head(503, [("Not-Executed", "1")], b"")
+
+
 def _torn(channel: Channel) -> None:
     """End partway through an event."""
     channel.transport.write(b"8\r\nid: 4\nda\r\n")
@@ -289,7 +299,7 @@
 
 
 FAULTS: dict[str, Callable[[Channel], None]] = {
-    "shed": lambda channel: channel.head(503, [("Not-Executed", "1")], b""),
+    "shed": _shed,
     "early": Channel.early,
     "error": lambda channel: channel.head(500, [], channel.text()),
     "reset": _abort,
