--- a/bench/run.py
+++ b/bench/run.py
@@ -18,11 +18,21 @@
 from collections.abc import Callable
 from typing import Any
 
-from . import capacity, overload, path, placement, routing, slopes, storm
+from . import (
+    capacity,
+    front,
+    overload,
+    path,
+    placement,
+    routing,
+    slopes,
+    storm,
+)
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "MEASUREMENTS.md"
 PARTS: dict[str, tuple[str, Callable[[], Any]]] = {
     "path": ("What entry and agent add, and carry", path.main),
+    "front": ("What an entry with an adapter adds", front.main),
     "routing": ("Choosing an upstream", routing.main),
     "overload": ("Limits under overload", overload.main),
     "storm": ("Retries after an outage", storm.main),
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -51,6 +51,7 @@
             ("push", "a"),
             ("push", "b"),
         ),
+        slots: int = 6,
         settings: dict[str, Any] | None = None,
     ) -> None:
         """Lay a fleet out.
@@ -58,6 +59,7 @@
         Args:
           entries: Number of entries, all in hall "a".
           workers: Service and hall of each worker.
+          slots: Requests that a worker works on at once.
           settings: Settings of the entries beside the usual.
         """
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="reelscale-fleet-"))
@@ -69,6 +71,7 @@
         self.workers: dict[str, tuple[str, str]] = {}
         self.client = httpx.Client(timeout=30)
         self.config = first_config()
+        self._slots = slots
         self._ids = itertools.count(1)
         self._usage_port = free_port(socket.SOCK_DGRAM)
         self._store = f"127.0.0.1:{free_port()}"
@@ -100,6 +103,7 @@
         self.workers[name] = (service, hall)
         faulty = hall == "a"
         data = {"id": name, "port": port, "faulty": faulty}
+        data["slots"] = self._slots
         self._add_stand_in(name, "worker", data)
 
     def _add_entry(self, name: str) -> None:
@@ -228,7 +232,7 @@
             "addr": self.address[name],
             "zone": hall,
             "version": "v1",
-            "slots": 6,
+            "slots": self._slots,
             "state": "ready",
             "cold_left_ms": 0,
             "seq": 0,
