Carry one attempt in a data class; relay its answer in a module of its own

A reader of filters/direct.py had to follow six parameters (asked, given, out, conn, answered, name) through every function, and the time limit was a closure over a list with one item. One attempt is now a data class, Sent, which also answers what stood twice: the last event that the caller has, and the error of an attempt that may have run. What becomes of the answer moved to filters/direct_answer.py, one step a function; what is left in direct.py is to connect, to send and to end in time. Parts.left_s says how long a request may still take, which four places had worked out by themselves. Answered no longer describes an attribute that it does not have.

Behaviour is unchanged.

--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -73,7 +73,6 @@
       not_run: Whether the upstream states that it did not run it.
       retry_after_s: When the upstream asks to be tried again, if it does.
       load: How busy the upstream is, if it told.
-      leaving: Whether it closes this connection.
     """
 
     status: int
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -5,18 +5,11 @@
 
 from typing import Any
 
-from reelscale_core import error, events
+from reelscale_core import announcement, error
 
-from ..adapters import base
 from ..exchange import connection
-from . import attempt, call, parts, writer
+from . import attempt, call, direct_answer, parts, writer
 
-# An upstream's answer from this status on is a failure of its own.
-FAILED = 500
-EVENT_STREAM = b"text/event-stream"
-# An answer up to this many bytes is read whole before it goes on, so that
-# one that breaks off can still be asked for again.
-WHOLE_BYTES = 256 * 1024
 # A request that must not run twice is not sent on a connection that was
 # idle for longer, in seconds: an upstream may be closing it just now.
 ONCE_IDLE_S = 1.0
@@ -35,44 +28,36 @@
       CodedError: "timeout": the time of the request is up.
       CallerLeftError: The caller has gone.
     """
-    view = given.membership.views_by_name[asked.choice.name]
-    name = view.upstream.name
-    asked.attempts.append(f"{name} ({asked.choice.reason})")
-    given.metrics.attempts.inc({"upstream": name})
-    conn = await _connect(asked, given, view.upstream)
-    late: list[bool] = []
-
-    def give_up() -> None:
-        late.append(True)
-        conn.abort()
-
-    left_s = asked.end_by - given.clock.monotonic()
-    timer = given.reactor.callLater(max(0.0, left_s), give_up)
+    upstream = given.membership.views_by_name[asked.choice.name].upstream
+    asked.attempts.append(f"{upstream.name} ({asked.choice.reason})")
+    given.metrics.attempts.inc({"upstream": upstream.name})
+    conn = await _connect(asked, given, upstream)
+    sent = direct_answer.Sent(
+        asked=asked, given=given, out=out, conn=conn, upstream=upstream
+    )
+    left_s = max(0.0, given.left_s(asked))
+    timer = given.reactor.callLater(left_s, sent.time_out)
     asked.on_left = conn.abort
     try:
-        conn.send(_request(asked, given, view.upstream, out))
-        await _relay(asked, given, out, conn, name)
+        conn.send(_request(sent))
+        await direct_answer.relay(sent)
     except connection.ExchangeError as lost:
-        raise _lost(asked, given, out, name, lost, bool(late)) from lost
+        raise _lost(sent, lost) from lost
     finally:
-        asked.on_left = None
-        if timer.active():
-            timer.cancel()
-        if conn.usable:
-            given.connections.release(conn)
-        else:
-            conn.abort()
+        _end(sent, timer)
 
 
 async def _connect(
-    asked: call.Call, given: parts.Parts, upstream: Any
+    asked: call.Call, given: parts.Parts, upstream: announcement.Announcement
 ) -> connection.Connection:
-    left_s = asked.end_by - given.clock.monotonic()
+    """Return a connection to an upstream, an idle one if that will do."""
     try:
         conn = await given.connections.acquire(
             upstream.address,
             idle_most_s=None if asked.repeatable else ONCE_IDLE_S,
-            connect_timeout_s=max(0.0, min(left_s, CONNECT_MOST_S)),
+            connect_timeout_s=max(
+                0.0, min(given.left_s(asked), CONNECT_MOST_S)
+            ),
         )
     except connection.ExchangeError as lost:
         given.note_failure(upstream.name)
@@ -85,192 +70,50 @@
     return conn
 
 
-def _request(
-    asked: call.Call, given: parts.Parts, upstream: Any, out: writer.Writer
-) -> connection.Request:
-    after = asked.resume_after if out.last_id is None else out.last_id
-    left_s = asked.end_by - given.clock.monotonic()
-    return given.dialect.request(
-        asked, upstream, left_s=left_s, resume_after=after
+def _request(sent: direct_answer.Sent) -> connection.Request:
+    """Return the request as the platform's upstreams read it."""
+    return sent.given.dialect.request(
+        sent.asked,
+        sent.upstream,
+        left_s=sent.given.left_s(sent.asked),
+        resume_after=sent.resume_after,
     )
 
 
 def _lost(
-    asked: call.Call,
-    given: parts.Parts,
-    out: writer.Writer,
-    name: str,
-    lost: connection.ExchangeError,
-    late: bool,
+    sent: direct_answer.Sent, lost: connection.ExchangeError
 ) -> Exception:
     """Return the error that a broken exchange comes to."""
-    if asked.left:
+    if sent.asked.left:
         return writer.CallerLeftError()
-    if late and out.begun:
-        return writer.BrokenError("timeout", name)
-    if late:
-        return error.CodedError(
-            "timeout",
-            step="relay",
-            peer=name,
-            status=504,
-            detail="the time of this request is up",
-            outcome=error.OUTCOME_UNKNOWN,
-        )
-    given.note_failure(name)
+    if sent.timed_out:
+        return _late(sent)
+    sent.given.note_failure(sent.name)
     return attempt.AttemptLostError(
-        lost.code, peer=name, not_run=not lost.written
+        lost.code, peer=sent.name, not_run=not lost.written
     )
 
 
-async def _relay(
-    asked: call.Call,
-    given: parts.Parts,
-    out: writer.Writer,
-    conn: connection.Connection,
-    name: str,
-) -> None:
-    began = given.clock.monotonic()
-    answered = given.dialect.answer(await conn.head())
-    if answered.load is not None:
-        given.membership.note_load(name, answered.load)
-    if not answered.not_run:
-        given.note_answered(asked)
-    if answered.not_run:
-        given.note_refused(asked, name)
-        given.membership.note_refused(name)
-        await _drain(conn)
-        raise attempt.AttemptLostError(
-            f"upstream-{answered.status}",
-            peer=name,
-            not_run=True,
-            retry_after_s=answered.retry_after_s,
-        )
-    if answered.request_id != asked.id:
-        conn.abort()
-        given.note_failure(name)
-        raise attempt.AttemptLostError(
-            "foreign-answer", peer=name, not_run=False
-        )
-    if _is_stream(answered):
-        await _relay_events(asked, given, out, conn, answered, name)
-    else:
-        await _relay_whole(asked, given, out, conn, answered, name)
-    given.note_success(name)
-    given.membership.note_taken(asked.target, given.clock.monotonic() - began)
-
-
-def _is_stream(answered: base.Answered) -> bool:
-    return answered.status == writer.OK and any(
-        key.lower() == b"content-type" and value.startswith(EVENT_STREAM)
-        for key, value in answered.headers
+def _late(sent: direct_answer.Sent) -> Exception:
+    """Return the error that ends a request whose time is up."""
+    if sent.out.begun:
+        return writer.BrokenError("timeout", sent.name)
+    return error.CodedError(
+        "timeout",
+        step="relay",
+        peer=sent.name,
+        status=504,
+        detail="the time of this request is up",
+        outcome=error.OUTCOME_UNKNOWN,
     )
 
 
-async def _drain(conn: connection.Connection) -> None:
-    """Read the rest of a small answer that goes nowhere."""
-    while await conn.chunk() is not None:
-        pass
-
-
-async def _relay_whole(
-    asked: call.Call,
-    given: parts.Parts,
-    out: writer.Writer,
-    conn: connection.Connection,
-    answered: base.Answered,
-    name: str,
-) -> None:
-    """Relay an answer in one piece, or from WHOLE_BYTES on as it comes."""
-    if out.begun:
-        # A stream was to go on, but the upstream answers with something
-        # else; what it says has no place in the answer that has begun.
-        raise attempt.AttemptLostError(
-            f"upstream-{answered.status}", peer=name, not_run=False
-        )
-    body = bytearray()
-    while (piece := await conn.chunk()) is not None:
-        if out.begun:
-            await out.drained()
-            out.write([piece])
-            continue
-        body += piece
-        if len(body) > WHOLE_BYTES:
-            out.begin(answered.status, answered.headers)
-            out.write([bytes(body)])
-    if not out.begun and answered.status >= FAILED and asked.repeatable:
-        raise attempt.AttemptLostError(
-            f"upstream-{answered.status}",
-            peer=name,
-            not_run=False,
-            answer=attempt.KeptAnswer(
-                answered.status, answered.headers, bytes(body)
-            ),
-        )
-    if not out.begun:
-        parts.note_first_byte(asked, given)
-        out.begin(answered.status, answered.headers, length=len(body))
-        out.write([bytes(body)])
-    out.finish()
-
-
-async def _relay_events(
-    asked: call.Call,
-    given: parts.Parts,
-    out: writer.Writer,
-    conn: connection.Connection,
-    answered: base.Answered,
-    name: str,
-) -> None:
-    """Relay a stream event by event, from the last that the caller has."""
-    cutter = events.Cutter()
-    last_at: float | None = None
-    while (piece := await conn.chunk()) is not None:
-        await out.drained()
-        whole = cutter.feed(piece)
-        if not whole:
-            continue
-        _check_order(asked, out, whole, conn, name)
-        if not out.begun:
-            parts.note_first_byte(asked, given)
-            out.begin(answered.status, answered.headers)
-        out.write([item.data for item in whole])
-        now = given.clock.monotonic()
-        if last_at is not None:
-            given.membership.note_pause(asked, now - last_at)
-        last_at = now
-        out.events += len(whole)
-        asked.events = out.events
-        out.last_id = whole[-1].id
-    if cutter.rest:
-        raise _garbled(conn, name)
-    if not out.begun:
-        out.begin(answered.status, answered.headers)
-    out.finish()
-
-
-def _check_order(
-    asked: call.Call,
-    out: writer.Writer,
-    whole: list[events.Event],
-    conn: connection.Connection,
-    name: str,
-) -> None:
-    """See that ids go on by one from the last that the caller has.
-
-    Raises:
-      AttemptLostError: They do not; nothing of these events is given on.
-    """
-    last = asked.resume_after if out.last_id is None else out.last_id
-    for item in whole:
-        wrong = item.id is None or (last is not None and item.id != last + 1)
-        if wrong:
-            raise _garbled(conn, name)
-        last = item.id
-
-
-def _garbled(
-    conn: connection.Connection, name: str
-) -> attempt.AttemptLostError:
-    conn.abort()
-    return attempt.AttemptLostError("garbled", peer=name, not_run=False)
+def _end(sent: direct_answer.Sent, timer: Any) -> None:
+    """Stop the clock of an attempt and keep its connection if it is good."""
+    sent.asked.on_left = None
+    if timer.active():
+        timer.cancel()
+    if sent.conn.usable:
+        sent.given.connections.release(sent.conn)
+    else:
+        sent.conn.abort()
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/outage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/outage.py
@@ -17,12 +17,11 @@
     """
     if given.lets_through(asked):
         return
-    now = given.clock.monotonic()
     raise error.CodedError(
         "group-out",
         step="outage",
         peer=asked.target,
         status=503,
         detail="all upstreams of this group refuse work",
-        retry_after_s=outages.retry_after_s(asked.end_by - now),
+        retry_after_s=outages.retry_after_s(given.left_s(asked)),
     )
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -206,12 +206,15 @@
         if not asked.target:
             return DEFAULT_RETRY_S
         if self.out(asked):
-            left_s = asked.end_by - self.clock.monotonic()
-            return outages.retry_after_s(left_s)
+            return outages.retry_after_s(self.left_s(asked))
         queue = self.queue(asked.target)
         name = asked.workspace.name
         return queue.retry_after_s(asked.id, name, asked.priority)
 
+    def left_s(self, asked: call.Call) -> float:
+        """Return how long a request's answer may still take."""
+        return asked.end_by - self.clock.monotonic()
+
     def enter(self, asked: call.Call) -> None:
         """Count a request in."""
         name = asked.workspace.name
