Keep the outages of groups in a controller of their own

Parts holds what the filters share, and a reader who wanted to know when a group counts as out had to pick four methods and a dictionary out of it; core outage and its alias "outages" stood side by side. The bookkeeping is now controllers/outages.py, asked as given.outages; the core module keeps its name everywhere. A log part that nothing used any more is gone, and the two constants of parts.py say what they are for.

Behaviour is unchanged.

--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -81,7 +81,7 @@
         given.membership.note_load(sent.name, answered.load)
     if answered.not_run:
         raise await _refused(sent, answered)
-    given.note_answered(sent.asked)
+    given.outages.note_answered(sent.asked)
     _check_own(sent, answered)
     if _is_stream(answered):
         await _relay_events(sent, answered)
@@ -96,7 +96,7 @@
     sent: Sent, answered: base.Answered
 ) -> attempt.AttemptLostError:
     """Note that the upstream refused to run it; return the error."""
-    sent.given.note_refused(sent.asked, sent.name)
+    sent.given.outages.note_refused(sent.asked, sent.name)
     sent.given.membership.note_refused(sent.name)
     # The rest of the answer goes nowhere, but the connection is kept.
     while await sent.conn.chunk() is not None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/outage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/outage.py
@@ -3,8 +3,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from reelscale_core import error
-from reelscale_core import outage as outages
+from reelscale_core import error, outage
 
 from . import call, parts
 
@@ -15,7 +14,7 @@
     Raises:
       CodedError: "group-out", 503, with when to come back.
     """
-    if given.lets_through(asked):
+    if given.outages.lets_through(asked):
         return
     raise error.CodedError(
         "group-out",
@@ -23,5 +22,5 @@
         peer=asked.target,
         status=503,
         detail="all upstreams of this group refuse work",
-        retry_after_s=outages.retry_after_s(given.left_s(asked)),
+        retry_after_s=outage.retry_after_s(given.left_s(asked)),
     )
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -13,26 +13,28 @@
     circuit,
     clock,
     model,
+    outage,
     retry,
     route,
     routing,
     settings,
 )
-from reelscale_core import outage as outages
 from reelscale_core import state as states
 from reelscale_wire import link
 
-from .. import logs, metrics
+from .. import metrics
 from ..adapters import base
-from ..controllers import config
+from ..controllers import config, outages
 from ..exchange import pool
 from . import call
 
-LOG = logs.Part("entry")
+# Decisions on so many requests, the newest, are kept for operators, who ask
+# soon after a request; the number bounds what they take.
 DECISIONS_KEPT = 2000
+# Where no queue tells when to come back, callers come back after this long,
+# in seconds: no target was found, and that changes with a configuration.
 DEFAULT_RETRY_S = 1.0
 
-
 # A filter of the chain that a request passes.
 Filter = Callable[[call.Call, "Parts"], Awaitable[None]]
 # Sends one attempt and relays what it gives; the last one is a Writer.
@@ -138,11 +140,11 @@
         self.running_by_workspace: dict[str, int] = {}
         self.running = 0
         self.budget = retry.Budget()
+        self.outages = outages.Outages(clock=clock)
         self.decisions: collections.OrderedDict[str, Decision] = (
             collections.OrderedDict()
         )
         self.on_own_change: Callable[[], None] = lambda: None
-        self._outage_by_target: dict[str, outages.Outage] = {}
         self._numbers = itertools.count(1)
         self._queues: dict[str, admission.Queue] = {}
         self._workspace_by_digest: dict[str, str] = {}
@@ -165,48 +167,12 @@
             self._queues[target] = found
         return found
 
-    def lets_through(self, asked: call.Call) -> bool:
-        """Tell whether a request may go to its group, or that is out.
-
-        Only groups of ranks go out as a whole; who is let through to see
-        whether one is back is noted.
-        """
-        if not asked.is_model:
-            return True
-        found = self._outage_by_target.get(asked.target, outages.Outage())
-        now = self.clock.monotonic()
-        if not outages.lets_through(found, now):
-            return False
-        if found.out:
-            self._outage_by_target[asked.target] = found._replace(tried_at=now)
-        return True
-
-    def out(self, asked: call.Call) -> bool:
-        """Tell whether the group of a request refuses work as a whole."""
-        found = self._outage_by_target.get(asked.target)
-        return asked.is_model and found is not None and found.out
-
-    def note_refused(self, asked: call.Call, upstream: str) -> None:
-        """Note that an upstream refused a request without running it."""
-        old = self._outage_by_target.get(asked.target, outages.Outage())
-        now = self.clock.monotonic()
-        new = outages.refused(old, upstream, now)
-        self._outage_by_target[asked.target] = new
-        if asked.is_model and new.out and not old.out:
-            LOG.warning("A group refuses work.", target=asked.target)
-
-    def note_answered(self, asked: call.Call) -> None:
-        """Note that an upstream took a request."""
-        old = self._outage_by_target.pop(asked.target, None)
-        if asked.is_model and old is not None and old.out:
-            LOG.info("A group takes work again.", target=asked.target)
-
     def retry_after_s(self, asked: call.Call) -> float:
         """Return when a refused caller should come back."""
         if not asked.target:
             return DEFAULT_RETRY_S
-        if self.out(asked):
-            return outages.retry_after_s(self.left_s(asked))
+        if self.outages.out(asked):
+            return outage.retry_after_s(self.left_s(asked))
         queue = self.queue(asked.target)
         name = asked.workspace.name
         return queue.retry_after_s(asked.id, name, asked.priority)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -91,7 +91,7 @@
     left_s = min(asked.deadline, asked.end_by) - now
     if asked.route is not None:
         left_s = asked.end_by - now
-    if given.out(asked):
+    if given.outages.out(asked):
         raise _failure(asked, given, out, lost, ran)
     worth = retry.worth(
         attempts=tries,
