--- a/features/steps/platform_usage_steps.py
+++ b/features/steps/platform_usage_steps.py
@@ -11,8 +11,7 @@
 import hypothesis
 from behave import given, then, when
 from hypothesis import strategies
-from reelscale_core import pace
-from reelscale_daemon.controllers import directory
+from reelscale_core import pace, waiting
 
 from features.steps import platform_steps as shared
 from standins import fleet, process
@@ -206,8 +205,7 @@
     "wanted"
 )
 def _(context, slots, takes, goal):
-    wait_s = goal * directory.WAIT_SHARE
-    assert directory.may_wait(slots, wait_s, takes) == 0
+    assert waiting.room(slots, goal_s=goal, takes_s=takes) == 0
 
 
 @then(
@@ -215,5 +213,4 @@
     "s is wanted"
 )
 def _(context, slots, takes, count, goal):
-    wait_s = goal * directory.WAIT_SHARE
-    assert directory.may_wait(slots, wait_s, takes) == count
+    assert waiting.room(slots, goal_s=goal, takes_s=takes) == count
--- a/packages/reelscale-core/src/reelscale_core/routing.py
+++ b/packages/reelscale-core/src/reelscale_core/routing.py
@@ -9,7 +9,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from . import rendezvous
@@ -118,6 +118,13 @@
     return ahead * QUEUE_MS + share * candidate.step_ms
 
 
+def used(candidates: Sequence[Candidate]) -> float:
+    """Return the part of the slots of all that is in use."""
+    slots = sum(item.capacity for item in candidates)
+    busy = sum(item.running + item.queued for item in candidates)
+    return busy / slots if slots else 0.0
+
+
 def choose(
     candidates: Iterable[Candidate], wish: Wish, now: float
 ) -> Choice | None:
