Say once what front and entry both did; make the front in short steps

front.py and entry.py each set the gauges of the configuration and of the requests and each worked out why they are not ready, and agent.py, operators and the wire bounded an endless age of the log by the same bare figure. Base now tells not_ready and sets its gauges, Parts sets those of requests, and the longest age that is shown is a named constant of the configuration, with its unit. The time between two looks while a process stops is one constant of process.py. Making a front was one function of sixty lines; adapter, usage and parts are made by a function each, and _connect says who tells whom.

Behaviour is unchanged.

--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -29,7 +29,6 @@
 SWEEP_EVERY_S = 1.0
 # A load report older than this means that the upstream is not well.
 UNWELL_S = 3.0
-STOP_POLL_S = 0.05
 # What a request sent at the last moment of a grant may take to arrive.
 STOP_MARGIN_S = 0.5
 
@@ -120,7 +119,7 @@
         # send; they get a refusal instead of a connection that breaks.
         await task.deferLater(base.reactor, grant.LAPSE_S + STOP_MARGIN_S)
         while self._streams.gate.running or self._unpulled():
-            await task.deferLater(base.reactor, STOP_POLL_S)
+            await task.deferLater(base.reactor, process.STOP_POLL_S)
         self._layouts.stop()
         self._keys.stop()
         for loop in self._loops:
@@ -320,9 +319,7 @@
 
     def _refresh(self) -> None:
         """Set the gauges before a scrape."""
-        base = self._base
-        self._metrics.offset.set({}, base.config.state.offset)
-        self._metrics.log_age.set({}, min(base.config.log_age_s(), 1e6))
+        self._base.set_gauges(self._metrics)
         self._metrics.running.set({}, len(self._streams.gate.running))
         self._metrics.layout.set({}, self._layouts.rank.version)
         self._metrics.keys.set({}, len(self._keys.table))
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -33,6 +33,9 @@
 PEERS_ASKED = 3
 # The log counts as out of reach after this long without an answer.
 LOG_FRESH_S = 3.0
+# A log that never answered is shown with this age, in seconds, some eleven
+# days: longer than any process waits for its first configuration.
+LONGEST_AGE_S = 1e6
 
 
 class Config:
@@ -94,9 +97,13 @@
         """Return seconds since the log last answered."""
         return self._clock.monotonic() - self._log_at
 
+    def shown_log_age_s(self) -> float:
+        """Return the age for gauges and the wire, which take no infinity."""
+        return min(self.log_age_s(), LONGEST_AGE_S)
+
     def log_age_ms(self) -> int:
-        """Return the same in whole milliseconds, bounded for the wire."""
-        return int(min(self.log_age_s(), 1e6) * 1000)
+        """Return the age as it is shown, in whole milliseconds."""
+        return int(self.shown_log_age_s() * 1000)
 
     def stop(self) -> None:
         """Follow the log no longer."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/entry.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/entry.py
@@ -18,7 +18,6 @@
 from .filters import admit, attempt, classify, identify, limit, parts, relay
 
 LOG = logs.Part("entry")
-STOP_POLL_S = 0.05
 CHAIN = (
     identify.identify,
     classify.classify,
@@ -90,7 +89,7 @@
         )
         await base.stop_listening()
         while self._parts.running:
-            await task.deferLater(base.reactor, STOP_POLL_S)
+            await task.deferLater(base.reactor, process.STOP_POLL_S)
         self._membership.stop()
         base.config.stop()
         LOG.info("Stopped.")
@@ -127,7 +126,7 @@
         root.putChild(b"operator", self._operators())
         health.add_routes(
             root,
-            ready=self._not_ready,
+            ready=base.not_ready,
             metrics=self._metrics,
             refresh=self._refresh,
         )
@@ -147,17 +146,7 @@
             given=self._parts,
         )
 
-    def _not_ready(self) -> str:
-        if self._base.stopping:
-            return "stopping"
-        return "" if self._base.config.ready else "no configuration yet"
-
     def _refresh(self) -> None:
         """Set the gauges before a scrape."""
-        base = self._base
-        self._metrics.offset.set({}, base.config.state.offset)
-        self._metrics.log_age.set({}, min(base.config.log_age_s(), 1e6))
-        self._metrics.running.set({}, self._parts.running)
-        waiting = self._membership.waiting_by_target
-        for target, count in waiting.items():
-            self._metrics.queued.set({"target": target}, count)
+        self._base.set_gauges(self._metrics)
+        self._parts.set_gauges()
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -234,6 +234,12 @@
         """Tell membership how much waits, for the next grant."""
         self.membership.waiting_by_target[target] = len(self.queue(target))
 
+    def set_gauges(self) -> None:
+        """Set the gauges of requests before a scrape."""
+        self.metrics.running.set({}, self.running)
+        for target, count in self.membership.waiting_by_target.items():
+            self.metrics.queued.set({"target": target}, count)
+
     def note_success(self, name: str) -> None:
         """Close an upstream's circuit."""
         view = self.membership.views_by_name.get(name)
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -21,7 +21,6 @@
 from .filters import admit, direct, limit, outage, parts, relay, routed
 
 LOG = logs.Part("entry")
-STOP_POLL_S = 0.05
 CHAIN = (
     routed.find_route,
     limit.limit,
@@ -43,40 +42,67 @@
 
     def __init__(self, *, reactor: Any, settings: settings.Settings) -> None:
         self.settings = settings
-        now = clock.SystemClock()
-        self._connections = pool.Pool(reactor=reactor, clock=now)
-        self._adapter = _adapter(reactor, now, settings, self._connections)
+        self._reactor = reactor
+        self._clock = clock.SystemClock()
+        self._metrics = metrics.Metrics()
+        self._connections = pool.Pool(reactor=reactor, clock=self._clock)
+        self._adapter = self._make_adapter()
         self._base = process.Base(
             reactor=reactor,
             settings=settings,
             platform=self._adapter.source,
-            clock=now,
+            clock=self._clock,
             peer_lead_s=PEER_LEAD_S,
         )
-        self._metrics = metrics.Metrics()
-        self._usage = usage.Usage(
-            reactor=reactor,
-            clock=now,
-            name=settings.name,
-            incarnation=self._base.incarnation,
-            address=settings.usage,
-            peers=settings.peers,
-            counts=lambda: self._directory.counts(),
-            peer=settings.peer,
-            offset=lambda: self._base.config.state.offset,
-        )
+        self._usage = self._make_usage()
         self._directory = directory.Directory(
             reactor=reactor,
-            clock=now,
+            clock=self._clock,
             roster=self._adapter.roster,
             connections=self._connections,
             usage=self._usage,
             name=settings.name,
         )
-        self._parts = parts.Parts(
+        self._parts = self._make_parts()
+        self._ingress = ingress.Ingress(
             reactor=reactor,
-            clock=now,
-            settings=settings,
+            resource=callers.Callers(
+                given=self._parts, surface=self._adapter.surface
+            ),
+            body_bytes=settings.body_bytes,
+        )
+        self._connect()
+
+    def _make_adapter(self) -> base.Adapter:
+        """Make the adapter that the settings name."""
+        module = importlib.import_module(self.settings.adapter)
+        make: base.Maker = module.make
+        return make(
+            reactor=self._reactor,
+            clock=self._clock,
+            settings=self.settings,
+            connections=self._connections,
+        )
+
+    def _make_usage(self) -> usage.Usage:
+        own = self.settings
+        return usage.Usage(
+            reactor=self._reactor,
+            clock=self._clock,
+            name=own.name,
+            incarnation=self._base.incarnation,
+            address=own.usage,
+            peers=own.peers,
+            counts=lambda: self._directory.counts(),
+            peer=own.peer,
+            offset=lambda: self._base.config.state.offset,
+        )
+
+    def _make_parts(self) -> parts.Parts:
+        return parts.Parts(
+            reactor=self._reactor,
+            clock=self._clock,
+            settings=self.settings,
             config=self._base.config,
             links=self._base.links,
             membership=self._directory,
@@ -87,13 +113,9 @@
             connections=self._connections,
             dialect=self._adapter.dialect,
         )
-        self._ingress = ingress.Ingress(
-            reactor=reactor,
-            resource=callers.Callers(
-                given=self._parts, surface=self._adapter.surface
-            ),
-            body_bytes=settings.body_bytes,
-        )
+
+    def _connect(self) -> None:
+        """Have the parts tell each other what has changed."""
         self._base.config.listen(self._follow)
         self._base.config.listen(self._directory.follow)
         self._parts.on_own_change = self._usage.changed
@@ -121,17 +143,17 @@
     async def stop(self) -> None:
         """Say not ready, let requests end, then go within the grace time."""
         own = self._base
-        started = own.clock.monotonic()
-        end_by = started + own.settings.grace.total_seconds() - STOP_MARGIN_S
+        grace_s = own.settings.grace.total_seconds()
+        end_by = self._clock.monotonic() + grace_s - STOP_MARGIN_S
         self._ingress.drain()
         stop_wait_s = own.settings.stop_wait.total_seconds()
-        await task.deferLater(own.reactor, stop_wait_s)
+        await task.deferLater(self._reactor, stop_wait_s)
         # A balancer that finds too few ready sends new callers to all; they
         # find another entry at once when nobody listens here.
         await own.stop_listening()
         self._ingress.close_idle()
-        while self._parts.running and own.clock.monotonic() < end_by:
-            await task.deferLater(own.reactor, STOP_POLL_S)
+        while self._parts.running and self._clock.monotonic() < end_by:
+            await task.deferLater(self._reactor, process.STOP_POLL_S)
             self._ingress.close_idle()
         self._usage.stop()
         self._directory.stop()
@@ -159,10 +181,8 @@
         return process.site(root)
 
     def _not_ready(self) -> str:
-        if self._base.stopping:
-            return "stopping"
-        if not self._base.config.ready:
-            return "no configuration yet"
+        if reason := self._base.not_ready():
+            return reason
         return "" if self._directory.ready else "no list of upstreams yet"
 
     def _follow(self, state: Any) -> None:
@@ -177,7 +197,7 @@
         )
 
     def _reload_soon(self, *_: Any) -> None:
-        self._base.reactor.callFromThread(self._reload)
+        self._reactor.callFromThread(self._reload)
 
     def _reload(self) -> None:
         """Read the settings again; what can change without a restart does.
@@ -200,22 +220,5 @@
 
     def _refresh(self) -> None:
         """Set the gauges before a scrape."""
-        own = self._base
-        self._metrics.offset.set({}, own.config.state.offset)
-        self._metrics.log_age.set({}, min(own.config.log_age_s(), 1e6))
-        self._metrics.running.set({}, self._parts.running)
-        for target, count in self._directory.waiting_by_target.items():
-            self._metrics.queued.set({"target": target}, count)
-
-
-def _adapter(
-    reactor: Any,
-    now: clock.Clock,
-    given: settings.Settings,
-    connections: pool.Pool,
-) -> base.Adapter:
-    """Make the adapter that the settings name."""
-    make: base.Maker = importlib.import_module(given.adapter).make
-    return make(
-        reactor=reactor, clock=now, settings=given, connections=connections
-    )
+        self._base.set_gauges(self._metrics)
+        self._parts.set_gauges()
--- a/packages/reelscale-daemon/src/reelscale_daemon/process.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -13,10 +13,13 @@
 from twisted.internet import defer, endpoints
 from twisted.web import server
 
-from . import logs
+from . import logs, metrics
 from .controllers import config
 
 LOG = logs.Part("process")
+# A process that stops looks this often, in seconds, whether its requests
+# have ended; what it waits in vain is little beside a grace time of seconds.
+STOP_POLL_S = 0.05
 
 
 class Base:
@@ -58,6 +61,17 @@
         self.stopping = False
         self._ports: list[Any] = []
 
+    def not_ready(self) -> str:
+        """Return why no entry could serve now, empty when one could."""
+        if self.stopping:
+            return "stopping"
+        return "" if self.config.ready else "no configuration yet"
+
+    def set_gauges(self, metrics: metrics.Metrics) -> None:
+        """Set the gauges of the configuration before a scrape."""
+        metrics.offset.set({}, self.config.state.offset)
+        metrics.log_age.set({}, self.config.shown_log_age_s())
+
     async def listen(self, address: str, factory: Any) -> None:
         """Serve a factory at "ip:port"."""
         host, port = address.rsplit(":", 1)
