--- /dev/null
+++ b/features/steps/platform_answers_steps.py
@@ -0,0 +1,234 @@
+"""Steps on answers: bad ones, streams, and groups that refuse."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import time
+
+from behave import given, then, when
+
+from features import platform_clients as clients
+from standins import fleet, process
+
+# Requests that an entry lets a worker of 6 slots have.
+FILLED = 6
+
+
+@given("a fleet of its own with full workers")
+def _(context):
+    """Fill every place that an entry gives the one worker there is."""
+    made = fleet.Fleet(workers=(("push", "a"),)).__enter__()
+    context.cluster = made
+    context.open = []
+    for _ in range(FILLED):
+        conn = made.connect()
+        clients.send(conn, made.headers(), "/push/mute")
+        context.open.append(conn)
+    process.wait_for(
+        lambda: len(made.ledger("push")) >= FILLED, "a full worker"
+    )
+
+
+@then("at most {count:d} workers ran it")
+def _(context, count):
+    runs = context.cluster.runs_of(context.id)
+    assert 1 <= len(runs) <= count, runs
+
+
+@then("{count:d} workers ran it")
+def _(context, count):
+    runs = context.cluster.runs_of(context.id)
+    assert len({run["by"] for run in runs}) == count, runs
+
+
+@then("it ran {count:d} times")
+def _(context, count):
+    # Whatever was to run later would have been sent by now.
+    assert len(context.cluster.runs_of(context.id)) == count
+
+
+@when(
+    "{count:d} requests follow each other on one connection, each with a "
+    "surplus"
+)
+def _(context, count):
+    made = context.cluster
+    conn = made.connect()
+    context.pairs = []
+    for number in range(count):
+        headers = made.headers()
+        path = "/push/extra" if number % 2 else "/push/extra-late"
+        clients.send(conn, headers, path)
+        answer = conn.getresponse()
+        context.pairs.append((headers["Request-Id"], answer.read()))
+        # A late surplus comes 20 ms after its answer.
+        time.sleep(0.01 * (number % 4))
+
+
+@then("each answer is the request's own")
+def _(context):
+    for sent, body in context.pairs:
+        assert body in (f"whole answer of {sent}".encode(), b""), body
+    whole = [body for _, body in context.pairs if body]
+    assert len(whole) >= len(context.pairs) // 2, len(whole)
+
+
+@then("the next request on that connection to the worker is read as sent")
+def _(context):
+    clients.ask(context, "/push/x", body=b"after")
+    assert context.answer.status_code == 200, context.answer
+    assert clients.only_run(context)["body"] == "after"
+
+
+@when('the address of worker "{name}" is announced under another id')
+def _(context, name):
+    made = context.cluster
+    made.withdraw(name)
+    made.workers["elsewhere"] = made.workers[name]
+    made.address["elsewhere"] = made.address[name]
+    made.announce("elsewhere")
+    del made.workers["elsewhere"]
+    _wait_listed(made, "elsewhere")
+
+
+def _wait_listed(made, name):
+    def listed():
+        return any(
+            row.get("name") == name and "listed" in row["text"]
+            for row in made.log_lines("f1")
+        )
+
+    process.wait_for(listed, f"{name} to be listed")
+
+
+@then("the answer has {size:d} bytes")
+def _(context, size):
+    assert context.answer.content == b"x" * size, len(context.answer.content)
+
+
+@when('a client streams "{path}"')
+def _(context, path):
+    clients.ask(context, path, body=b"prompt")
+
+
+@when('a client streams "{path}" from event {last:d} on')
+def _(context, path, last):
+    clients.ask(context, path, body=b"prompt", Last_Event_Id=str(last))
+
+
+@then("the stream has every event once, in order, and ends whole")
+def _(context):
+    assert context.answer.status_code == 200, context.answer
+    text = context.answer.text
+    assert clients.events(text) == fleet.STREAM, text
+
+
+@then("the head is that of the first worker")
+def _(context):
+    runs = context.cluster.runs_of(context.id)
+    first = next(r for r in runs if "last-event-id" not in r["headers"])
+    stamp = context.answer.headers["response-stamp"]
+    assert stamp == f"stamp-{first['by']}", (stamp, runs)
+
+
+@then("the stream has the events from {first:d} on")
+def _(context, first):
+    assert clients.events(context.answer.text) == fleet.STREAM[first - 1 :]
+
+
+@when('a client streams "{path}" and leaves after the first event')
+def _(context, path):
+    made = context.cluster
+    headers = made.headers()
+    context.id = headers["Request-Id"]
+    conn = made.connect()
+    clients.send(conn, headers, path)
+    answer = conn.getresponse()
+    assert answer.readline().startswith(b"id: 1")
+    answer.close()
+    conn.close()
+    context.left_at = time.monotonic()
+
+
+@then(
+    "the worker sees the stream's connection close within {seconds:f} s of it"
+)
+def _(context, seconds):
+    made = context.cluster
+
+    def closed():
+        return any(
+            context.id in made.worker(name)["cancelled"]
+            for name in made.workers
+        )
+
+    # The stream itself would last another 2 s.
+    process.wait_for(closed, "the stream to be closed", 1.5)
+
+
+@given("a fleet of one group of {count:d} workers that all refuse")
+def _(context, count):
+    workers = (("llm", "a"),) * count
+    context.cluster = fleet.Fleet(workers=workers).__enter__()
+
+
+@when("{count:d} streams are asked for one after the other")
+def _(context, count):
+    made = context.cluster
+    context.answers = [made.ask("/chat/shed") for _ in range(count)]
+
+
+@then("all are refused as not run, most without asking a worker")
+def _(context):
+    statuses = {answer.status_code for answer in context.answers}
+    assert statuses == {503}, statuses
+    made = context.cluster
+    asked = sum(made.worker(name)["shed"] for name in made.workers)
+    # The first two find it out with two attempts each; then one in 0.25 s.
+    assert asked < len(context.answers) // 2, asked
+
+
+@then("they are told to come back after a third of their time")
+def _(context):
+    after = float(context.answers[-1].headers["retry-after"])
+    # The route allows 4 s.
+    assert 1.0 < after <= 4.0 / 3, after
+
+
+@when("the group takes work again")
+def _(context):
+    made = context.cluster
+    for name in made.workers:
+        made.set_faulty(name, False)
+
+
+@then("a stream is served within {seconds:d} s")
+def _(context, seconds):
+    made = context.cluster
+    process.wait_for(
+        lambda: made.ask("/chat/shed").is_success, "a stream", seconds
+    )
+
+
+@when("a client sends and leaves while it waits")
+def _(context):
+    made = context.cluster
+    headers = made.headers()
+    context.id = headers["Request-Id"]
+    conn = made.connect()
+    clients.send(conn, headers, "/push/x")
+    conn.sock.close()
+    conn.close()
+    for item in context.open:
+        item.sock.close()
+        item.close()
+
+
+@then("no worker gets the request")
+def _(context):
+    made = context.cluster
+    # Another one that follows is served, so that one had its chance.
+    process.wait_for(
+        lambda: made.ask("/push/x").is_success, "the worker to be free"
+    )
+    assert made.runs_of(context.id) == []
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -11,7 +11,7 @@
 from reelscale_platform import store as stores
 from twisted.internet import defer, reactor, task
 
-from features.steps import platform_steps
+from features import platform_clients as clients
 from standins import fleet, process
 from standins import store as standin
 
@@ -184,7 +184,7 @@
 def _(context, name):
     made = fleet.Fleet(entries=2)
     context.cluster = made
-    data, path = platform_steps.settings_file(made, name)
+    data, path = clients.settings_file(made, name)
     nobody = f"127.0.0.1:{process.free_port()}"
     path.write_text(json.dumps({**data, "platform": f"http://{nobody}"}))
     made.start(wait=("f1",))
--- a/features/steps/platform_usage_steps.py
+++ b/features/steps/platform_usage_steps.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies
 from reelscale_core import pace, waiting
 
-from features.steps import platform_steps as shared
+from features import platform_clients as clients
 from standins import fleet, process
 
 GOOD_S = 0.12
@@ -40,7 +40,7 @@
     context.statuses = []
     for number in range(wanted):
         conn = made.connect(entries[number % len(entries)])
-        shared._send(conn, made.headers(), "/push/mute")
+        clients.send(conn, made.headers(), "/push/mute")
         thread = threading.Thread(target=_read, args=(context, conn))
         thread.start()
         context.open.append((conn, thread))
@@ -56,7 +56,7 @@
 
 
 def _read(context, conn):
-    answer = shared.broken_off(conn.getresponse)
+    answer = clients.broken_off(conn.getresponse)
     if answer is not None:
         context.statuses.append(answer.status)
 
@@ -109,11 +109,11 @@
 @when('{count:d} generated datagrams are sent to entry "{name}"')
 def _(context, count, name):
     made = context.cluster
-    data, _ = shared.settings_file(made, name)
+    data, _ = clients.settings_file(made, name)
     host, port = data["usage"].rsplit(":", 1)
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
-    @hypothesis.settings(shared.SETTINGS, max_examples=count)
+    @hypothesis.settings(clients.GENERATED, max_examples=count)
     @hypothesis.given(strategies.binary(max_size=1500))
     def send(payload):
         sock.sendto(payload, (host, int(port)))
