--- /dev/null
+++ b/features/models/relayout.py
@@ -0,0 +1,382 @@
+"""Ranks that change layouts by themselves, holders, and late orders.
+
+A rank here obeys as an engine's pages say: a version is prepared once, an
+armed layout is taken as its step begins, a held step waits.  An order may be
+lost, lose its answer, or be carried out long after it was given; a holder
+may be overtaken and go on; a rank may restart, and the group forms anew.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import dataclasses
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from reelscale_core import rank as ranks
+from reelscale_core import relayout
+
+from .chooser import Chooser
+
+VERSIONS_A_FENCE = 1000
+MOST_WANTED = 4
+# Once faults cease, a step takes as long as so many events of a holder.
+TURNS_A_STEP = 12
+OUTCOMES = ranks.Outcome
+
+
+class MixedLayoutsError(AssertionError):
+    """A step began on two layouts."""
+
+
+class Sent(NamedTuple):
+    """An order on its way."""
+
+    name: str
+    order: ranks.Order
+    fence: int
+    epoch: int
+
+
+@dataclasses.dataclass(kw_only=True)
+class EngineRank:
+    """What a rank of the engine holds.
+
+    Attributes:
+      fence: Highest that it has seen; forgotten at its restart.
+      highest: Highest version that it was asked to prepare.
+    """
+
+    version: int = 0
+    prepared: int | None = None
+    armed: ranks.Armed | None = None
+    held: int | None = None
+    fence: int = 0
+    highest: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Holder:
+    """One that holds the lease, or once did.
+
+    Attributes:
+      view: What it knows of the ranks, while it gives orders by it.
+      asking: What it has heard of them since it asks all.
+      pending: Orders whose outcome it does not know yet.
+      unsure: Whether an order's answer was lost.
+      fenced: Epoch in which all ranks refuse earlier holders.
+    """
+
+    fence: int
+    own: str
+    view: dict[str, ranks.Rank] | None = None
+    asking: dict[str, ranks.Rank] = dataclasses.field(default_factory=dict)
+    pending: list[Sent] = dataclasses.field(default_factory=list)
+    unsure: bool = False
+    fencing: bool = False
+    fenced: int | None = None
+    stopped: bool = False
+    wanted: relayout.Wanted | None = None
+    versions: int = 0
+
+
+class Rules:
+    """The rules under test."""
+
+    fences = True
+
+    def plan(
+        self,
+        view: Mapping[str, ranks.Rank],
+        wanted: relayout.Wanted | None,
+        holder: str,
+    ) -> dict[str, ranks.Order]:
+        """Return a holder's next orders."""
+        return relayout.plan(view, wanted=wanted, holder=holder)
+
+
+class NoHold(Rules):
+    """Ranks are armed for a step that nobody holds."""
+
+    def plan(
+        self,
+        view: Mapping[str, ranks.Rank],
+        wanted: relayout.Wanted | None,
+        holder: str,
+    ) -> dict[str, ranks.Order]:
+        """Return orders as if the hold had been taken."""
+        orders = super().plan(view, wanted, holder)
+        hold = orders.get(holder)
+        if isinstance(hold, ranks.Hold):
+            held = view[holder]._replace(held=hold.step)
+            orders = super().plan({**view, holder: held}, wanted, holder)
+        return orders
+
+
+class NoFence(Rules):
+    """A new holder goes on at once with what it finds."""
+
+    fences = False
+
+
+class GoEarly(Rules):
+    """The group goes on once some rank is armed."""
+
+    def plan(
+        self,
+        view: Mapping[str, ranks.Rank],
+        wanted: relayout.Wanted | None,
+        holder: str,
+    ) -> dict[str, ranks.Order]:
+        """Return a go in place of further arming."""
+        orders = super().plan(view, wanted, holder)
+        some = any(item.armed for item in view.values())
+        arms = any(isinstance(o, ranks.Arm) for o in orders.values())
+        if not (some and arms):
+            return orders
+        held = {n: r.held for n, r in view.items() if r.held is not None}
+        return {name: ranks.Go(step) for name, step in held.items()}
+
+
+RULES = {
+    "as built": Rules,
+    "without holding": NoHold,
+    "without refusing earlier holders": NoFence,
+    "without arming every rank": GoEarly,
+}
+
+
+class World:
+    """The group, its holders and the orders on their way."""
+
+    def __init__(self, *, ranks: int, given: Rules) -> None:
+        self.rules = given
+        self.names = [f"r{number}" for number in range(ranks)]
+        self.ranks = {name: EngineRank() for name in self.names}
+        self.epoch = 1
+        self.step = 0
+        self.late: list[Sent] = []
+        self.holders: list[Holder] = []
+        self.add_holder(Chooser([]))
+
+    def act(self, chooser: Chooser) -> None:
+        """Let one thing happen."""
+        actions = [
+            *[self.work] * 70,
+            *[self.begin_step] * 4,
+            *[self.carry_out_late] * 6,
+            self.add_holder,
+            self.restart_rank,
+        ]
+        chooser.pick(actions)(chooser)
+
+    # The engine.
+
+    def begin_step(self, _: Chooser) -> None:
+        """Begin the group's next step, unless a rank holds it."""
+        step = self.step + 1
+        if any(item.held == step for item in self.ranks.values()):
+            return
+        self.step = step
+        for item in self.ranks.values():
+            if item.armed is not None and item.armed.step == step:
+                item.version = item.armed.version
+                item.armed = item.prepared = None
+        versions = {item.version for item in self.ranks.values()}
+        if len(versions) > 1:
+            raise MixedLayoutsError(f"step {step} began on {versions}")
+
+    def restart_rank(self, chooser: Chooser) -> None:
+        """Restart a rank; the group forms anew."""
+        name = chooser.pick(self.names)
+        self.epoch += 1
+        self.step = 0
+        for item in self.ranks.values():
+            item.version = 0
+            item.prepared = item.armed = item.held = None
+        self.ranks[name] = EngineRank()
+
+    def obey(self, sent: Sent) -> ranks.Outcome:
+        """Carry an order out at a rank."""
+        item = self.ranks[sent.name]
+        if sent.epoch != self.epoch:
+            return OUTCOMES.REFUSED
+        if sent.fence < item.fence:
+            return OUTCOMES.FENCED
+        item.fence = sent.fence
+        taken = self._taken(item, sent.order)
+        return OUTCOMES.TAKEN if taken else OUTCOMES.REFUSED
+
+    def _taken(self, item: EngineRank, order: ranks.Order) -> bool:
+        match order:
+            case ranks.Fence(version=version) | ranks.Disarm(version=version):
+                if item.armed and item.armed.version == version:
+                    item.armed = None
+                return version != item.version
+            case ranks.Prepare(version=version):
+                if version <= item.highest or item.armed:
+                    return False
+                item.highest = item.prepared = version
+                return True
+            case ranks.Arm(version=version, step=step):
+                armed = ranks.Armed(version, step)
+                fit = item.prepared == version and step > self.step
+                if not fit or item.armed not in (None, armed):
+                    return False
+                item.armed = armed
+                return True
+            case ranks.Hold(step=step):
+                if step <= self.step or item.held not in (None, step):
+                    return False
+                item.held = step
+                return True
+            case ranks.Go(step=step):
+                if item.held == step:
+                    item.held = None
+                return True
+
+    def report(self, name: str) -> ranks.Rank:
+        """Return what a rank reports now."""
+        item = self.ranks[name]
+        return ranks.Rank(
+            group="g",
+            epoch=self.epoch,
+            number=self.names.index(name),
+            size=len(self.names),
+            open=True,
+            step=self.step,
+            version=item.version,
+            prepared=item.prepared,
+            armed=item.armed,
+            held=item.held,
+        )
+
+    def carry_out_late(self, chooser: Chooser) -> None:
+        """Carry an order out whose answer its sender no longer awaits."""
+        if self.late:
+            sent = chooser.pick(self.late)
+            self.late.remove(sent)
+            self.obey(sent)
+
+    # The holders.
+
+    def add_holder(self, chooser: Chooser) -> None:
+        """Let another take the lease; the others may not know."""
+        own = chooser.pick(self.names)
+        fence = len(self.holders) + 1
+        self.holders.append(Holder(fence=fence, own=own))
+
+    def work(self, chooser: Chooser) -> None:
+        """Let a holder, perhaps one that was overtaken, go on."""
+        newest = self.holders[-1]
+        holder = chooser.pick([newest, newest, newest, *self.holders[-3:]])
+        if holder.stopped:
+            return
+        if holder.pending:
+            self._resolve(holder, chooser)
+        elif holder.view is None:
+            self._ask(holder, chooser)
+        else:
+            self._give_orders(holder)
+
+    def _ask(self, holder: Holder, chooser: Chooser) -> None:
+        """Hear one rank; with the last, know the group."""
+        missing = [name for name in self.names if name not in holder.asking]
+        name = chooser.pick(missing)
+        holder.asking[name] = self.report(name)
+        if len(missing) > 1:
+            return
+        heard, holder.asking = holder.asking, {}
+        if not relayout.whole(heard):
+            holder.wanted = None
+            return
+        epoch = heard[self.names[0]].epoch
+        if self.rules.fences and holder.fenced != epoch:
+            holder.wanted = None
+            holder.fencing = True
+            order = ranks.Fence(self._next_version(holder))
+            self._send(holder, dict.fromkeys(self.names, order), epoch)
+            return
+        holder.view = heard
+        rests = not any(r.armed or r.held is not None for r in heard.values())
+        if holder.wanted is None and rests and holder.versions < MOST_WANTED:
+            version = self._next_version(holder)
+            holder.wanted = relayout.Wanted(version, ())
+
+    def _next_version(self, holder: Holder) -> int:
+        holder.versions += 1
+        return holder.fence * VERSIONS_A_FENCE + holder.versions
+
+    def _give_orders(self, holder: Holder) -> None:
+        """Plan by what is known; without orders, look again."""
+        view = holder.view
+        orders = self.rules.plan(view, holder.wanted, holder.own)
+        if not orders:
+            holder.view = None
+            wanted = holder.wanted
+            if wanted and all(
+                r.version == wanted.version for r in view.values()
+            ):
+                holder.wanted = None
+            return
+        self._send(holder, orders, view[self.names[0]].epoch)
+
+    def _send(
+        self, holder: Holder, orders: Mapping[str, ranks.Order], epoch: int
+    ) -> None:
+        holder.unsure = False
+        holder.pending = [
+            Sent(name, order, holder.fence, epoch)
+            for name, order in orders.items()
+        ]
+
+    def _resolve(self, holder: Holder, chooser: Chooser) -> None:
+        """Let one pending order arrive, late or now, answered or not."""
+        sent = chooser.pick(holder.pending)
+        holder.pending.remove(sent)
+        fate = chooser.pick(["answered"] * 7 + ["no answer", "late", "lost"])
+        outcome = OUTCOMES.UNKNOWN
+        if fate == "answered":
+            outcome = self.obey(sent)
+        elif fate == "no answer":
+            self.obey(sent)
+        elif fate == "late":
+            self.late.append(sent)
+        if outcome == OUTCOMES.FENCED:
+            holder.stopped = True
+            return
+        holder.unsure |= outcome == OUTCOMES.UNKNOWN
+        if holder.fencing:
+            # One that does not take it may know an earlier holder's orders.
+            holder.unsure |= outcome != OUTCOMES.TAKEN
+        elif outcome != OUTCOMES.UNKNOWN:
+            holder.view[sent.name] = self.report(sent.name)
+        if isinstance(sent.order, ranks.Prepare):
+            if outcome == OUTCOMES.REFUSED:
+                holder.wanted = None
+            holder.unsure = True
+        if not holder.pending:
+            self._note_round(holder, sent.epoch)
+
+    def _note_round(self, holder: Holder, epoch: int) -> None:
+        """Take the outcomes of a whole round in."""
+        if holder.fencing:
+            holder.fencing = False
+            holder.fenced = None if holder.unsure else epoch
+            holder.view = None
+        elif holder.unsure or not relayout.whole(holder.view):
+            holder.view = None
+
+    def settle(self) -> bool:
+        """Let one new holder work without faults; tell if all agree."""
+        none = Chooser([])
+        self.late.clear()
+        self.add_holder(none)
+        self.holders = self.holders[-1:]
+        for turn in range(400):
+            self.work(none)
+            if turn % TURNS_A_STEP == 0:
+                self.begin_step(none)
+        versions = {item.version for item in self.ranks.values()}
+        held = any(item.held is not None for item in self.ranks.values())
+        return versions != {0} and len(versions) == 1 and not held
--- /dev/null
+++ b/features/platform_layout.feature
@@ -0,0 +1,60 @@
+Feature: Agents bring a group's experts where its requests want them
+
+  Scenario: The ranks of a hot group are levelled
+    Given a group of ranks with agents
+    When the group has begun with the first layout
+    Then its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
+  Scenario: Other experts are wanted
+    Given a group of ranks with agents
+    When its skew falls below 1.4 within 20 s
+    And other experts are wanted
+    Then its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
+  Scenario: Orders are lost and carried out late
+    Given a group of ranks with agents
+    When of the next 40 orders the answers are lost, and 1.5 s late
+    And other experts are wanted
+    Then its skew falls below 1.4 within 30 s
+    And no step of the group began on two layouts
+    And the group is not held
+
+  Scenario: The holder is killed while it changes the layout
+    Given a group of ranks with agents
+    When an agent holds the lease
+    And the holder is killed while the group is held
+    Then another agent holds the lease within 20 s
+    And the group is not held within 20 s
+    And its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
+  Scenario: A frozen holder wakes and finds itself replaced
+    Given a group of ranks with agents
+    When an agent holds the lease
+    And the holder is frozen until another holds the lease
+    Then the frozen agent lets the group alone within 20 s
+    And its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
+  Scenario: A rank restarts and the group forms anew
+    Given a group of ranks with agents
+    When its skew falls below 1.4 within 20 s
+    And a rank restarts
+    Then its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
+  Scenario: The store is away
+    Given a group of ranks with agents
+    When its skew falls below 1.4 within 20 s
+    And the store is away and other experts are wanted
+    Then its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
+  Scenario: A holder that stops gives the lease up at once
+    Given a group of ranks with agents
+    When an agent holds the lease
+    And the holder is stopped in order
+    Then it says that it has stopped
+    And another agent holds the lease within 20 s
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -12,6 +12,7 @@
     Examples:
       | promise                                            | model     |
       | A step runs on one layout                          | lockstep  |
+      | A step of an engine that arms itself, too          | relayout  |
       | A key runs at most once                            | oncekeys  |
       | Not-run means not run, and answers are one's own   | exchange  |
       | All readers of the log fold the same, none reverts | configlog |
@@ -27,12 +28,20 @@
       | lockstep | without the decision phase                   |
       | lockstep | without holding                              |
       | lockstep | without asking again after a loss            |
+      | relayout | without holding                              |
+      | relayout | without refusing earlier holders             |
+      | relayout | without arming every rank                    |
       | oncekeys | without asking earlier homes                 |
       | oncekeys | without refusing keys from before a restart  |
       | exchange | without tombstones                           |
       | exchange | without checking the incarnation     |
       | exchange | without sequence numbers                     |
 
-  Scenario: A group comes onto its layout once faults cease
-    When 200 seeded traces of the lockstep model run and faults cease
+  Scenario Outline: A group comes onto its layout once faults cease
+    When 200 seeded traces of the <model> model run and faults cease
     Then every group ends on the layout wanted
+
+    Examples:
+      | model    |
+      | lockstep |
+      | relayout |
--- /dev/null
+++ b/features/steps/platform_layout_steps.py
@@ -0,0 +1,138 @@
+"""Steps on agents that change the layout of their group."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from behave import given, step, then, when
+
+from standins import ranked
+from standins.process import wait_for
+
+# The first expert is wanted at first; these are wanted later.
+OTHERS = [5, 6]
+ALONE = "A newer holder has the group."
+
+
+@given("a group of ranks with agents")
+def _(context):
+    context.cluster = ranked.Ranked().__enter__()
+
+
+@when("the group has begun with the first layout")
+def _(context):
+    found = context.cluster.group()
+    assert found["skew"] > 1.4, found
+
+
+@step("its skew falls below {most:f} within {seconds:d} s")
+def _(context, most, seconds):
+    # The skew of before the demand changed must not count.
+    steps = context.cluster.group()["steps"] + 2
+
+    def level():
+        found = context.cluster.group()
+        return found["steps"] > steps and found["skew"] < most
+
+    wait_for(level, f"a skew below {most}", seconds)
+
+
+@when("other experts are wanted")
+def _(context):
+    context.cluster.group(hot=OTHERS)
+
+
+@when(
+    "of the next {count:d} orders the answers are lost, and {late_s:f} s late"
+)
+def _(context, count, late_s):
+    context.cluster.group(lose=count, late_s=late_s)
+
+
+@when("a rank restarts")
+def _(context):
+    before = context.cluster.group()["epoch"]
+    assert context.cluster.group(restart=True)["epoch"] == before + 1
+
+
+@when("the store is away and other experts are wanted")
+def _(context):
+    context.cluster.control(down="silent")
+    context.cluster.group(hot=OTHERS)
+
+
+@when("an agent holds the lease")
+def _(context):
+    made = context.cluster
+    wait_for(lambda: made.holders(), "a holder", 20)
+    context.holder_name = made.holders()[-1]
+
+
+@when("the holder is killed while the group is held")
+def _(context):
+    made = context.cluster
+    # No order to go on arrives, so the group stays held.
+    made.group(lose=1000, lose_op="go", late_s=60, hot=OTHERS)
+    wait_for(lambda: made.group()["held"], "a hold", 20)
+    made.processes[context.holder_name].kill()
+    assert made.group(lose=0)["held"]
+
+
+@when("the holder is frozen until another holds the lease")
+def _(context):
+    made = context.cluster
+    frozen = made.processes[context.holder_name]
+    frozen.freeze()
+    wait_for(lambda: len(made.holders()) > 1, "another holder", 20)
+    made.group(hot=OTHERS)
+    frozen.thaw()
+
+
+@then("the frozen agent lets the group alone within {seconds:d} s")
+def _(context, seconds):
+    made, name = context.cluster, context.holder_name
+
+    def replaced():
+        texts = [row["text"] for row in made.log_lines(name)]
+        return ALONE in texts or texts.count("Lost the lease.") > 0
+
+    wait_for(replaced, "the old holder to give way", seconds)
+
+
+@when("the holder is stopped in order")
+def _(context):
+    context.status = context.cluster.processes[context.holder_name].stop()
+
+
+@then("it says that it has stopped")
+def _(context):
+    assert context.status == 0, context.status
+    lines = context.cluster.log_lines(context.holder_name)
+    assert lines[-1]["text"] == "Stopped.", lines[-1]
+
+
+@then("another agent holds the lease within {seconds:d} s")
+def _(context, seconds):
+    made, old = context.cluster, context.holder_name
+    wait_for(
+        lambda: [name for name in made.holders() if name != old],
+        "another holder",
+        seconds,
+    )
+
+
+@then("the group is not held")
+def _(context):
+    assert context.cluster.group()["held"] == [], context.cluster.group()
+
+
+@then("the group is not held within {seconds:d} s")
+def _(context, seconds):
+    made = context.cluster
+    wait_for(lambda: not made.group()["held"], "the hold to end", seconds)
+
+
+@then("no step of the group began on two layouts")
+def _(context):
+    found = context.cluster.group()
+    assert found["steps"] > 0, found
+    assert found["mixed"] == 0, found
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -12,7 +12,14 @@
 from behave import then, when
 from hypothesis import strategies
 
-from features.models import chooser, configlog, exchange, lockstep, oncekeys
+from features.models import (
+    chooser,
+    configlog,
+    exchange,
+    lockstep,
+    oncekeys,
+    relayout,
+)
 
 TRACES = pathlib.Path(__file__).parent.parent / "traces"
 FAULTS = (
@@ -20,7 +27,9 @@
     exchange.ToldWrongError,
     lockstep.MixedStepError,
     oncekeys.DoubleRunError,
+    relayout.MixedLayoutsError,
 )
+RANKED = ("lockstep", "relayout")
 EVENTS = 400
 
 
@@ -29,7 +38,7 @@
     if model == "configlog":
         return module.World()
     given = module.RULES[rules]()
-    if model == "lockstep":
+    if model in RANKED:
         return module.World(ranks=ranks, given=given)
     return module.World(rules=given)
 
@@ -114,10 +123,10 @@
     assert not _breaks(context, "as built")
 
 
-@when("{count:d} seeded traces of the lockstep model run and faults cease")
-def _(context, count):
+@when("{count:d} seeded traces of the {model} model run and faults cease")
+def _(context, count, model):
     worlds = [
-        _run(_world("lockstep", ranks=1 + seed % 4), _seeded(seed))
+        _run(_world(model, ranks=1 + seed % 4), _seeded(seed))
         for seed in range(count)
     ]
     context.stuck = [world for world in worlds if not world.settle()]
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/demand.py
@@ -0,0 +1,73 @@
+"""How often each expert is asked for, from the counters of all ranks."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+
+class Counted(NamedTuple):
+    """Counters of one rank.
+
+    Attributes:
+      epoch: They start anew in each.
+      counts: Tokens since then, set after set, by expert.
+    """
+
+    epoch: int
+    counts: tuple[int, ...]
+
+
+class Demand(NamedTuple):
+    """The recent demand in a group.
+
+    Attributes:
+      at: Monotonic seconds at which it was true.
+      recent: Tokens of each expert, set after set; older ones fade.
+      last_by_name: The newest counters of each rank.
+    """
+
+    at: float = float("-inf")
+    recent: tuple[float, ...] = ()
+    last_by_name: Mapping[str, Counted] = {}
+
+
+def observed(
+    demand: Demand,
+    counted_by_name: Mapping[str, Counted],
+    *,
+    now: float,
+    half_life_s: float,
+) -> Demand:
+    """Take new counters of ranks in.
+
+    Counters of a rank that was not seen before, or that has started anew,
+    are the base of the next difference and count for nothing yet.
+    """
+    width = max((len(c.counts) for c in counted_by_name.values()), default=0)
+    kept = 0.5 ** ((now - demand.at) / half_life_s) if demand.recent else 0.0
+    recent = [value * kept for value in demand.recent] or [0.0] * width
+    if len(recent) != width:
+        recent = [0.0] * width
+    for name, counted in counted_by_name.items():
+        old = demand.last_by_name.get(name)
+        if old is None or old.epoch != counted.epoch:
+            continue
+        for place, value in enumerate(_difference(counted, old)):
+            recent[place] += value
+    last = {**demand.last_by_name, **counted_by_name}
+    return Demand(now, tuple(recent), last)
+
+
+def by_set(demand: Demand, experts: int) -> list[Sequence[float]]:
+    """Return the demand of each set of layers."""
+    starts = range(0, len(demand.recent), experts)
+    return [demand.recent[start : start + experts] for start in starts]
+
+
+def _difference(new: Counted, old: Counted) -> list[int]:
+    if len(new.counts) != len(old.counts):
+        return []
+    pairs = zip(new.counts, old.counts, strict=True)
+    return [max(0, after - before) for after, before in pairs]
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/relayout.py
@@ -0,0 +1,151 @@
+"""Brings the ranks of a group onto one layout, whoever fails midway.
+
+All ranks must use the same layout in every step.  So one rank holds the
+group before a step that none has begun, every rank is armed for that step,
+and only when each has said that it is armed does the group go on.  From the
+hold on a change only goes forward: an order whose answer was lost may still
+be carried out, which then changes nothing.  A new holder first has every
+rank refuse its predecessors, then goes on with what it finds.
+
+An order that is carried out late finds its step begun, its version used or
+its fence outdated, and the rank refuses it.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from . import rank as ranks
+
+# The step to change at lies so many beyond the furthest that was begun: the
+# next may begin while the hold is on its way, the one after does not within
+# the few milliseconds that it takes.
+MARGIN_STEPS = 2
+
+
+class Wanted(NamedTuple):
+    """A layout that a group is to be brought onto.
+
+    Attributes:
+      version: Higher than any before it.
+      table: The experts that each rank holds.
+    """
+
+    version: int
+    table: ranks.Table
+
+
+def whole(by_name: Mapping[str, ranks.Rank]) -> bool:
+    """Tell whether these are all ranks of one open group, in one epoch."""
+    found = list(by_name.values())
+    if not found:
+        return False
+    first = found[0]
+    numbers = {item.number for item in found}
+    return len(numbers) == len(found) == first.size and all(
+        item.open and (item.group, item.epoch) == (first.group, first.epoch)
+        for item in found
+    )
+
+
+def plan(
+    by_name: Mapping[str, ranks.Rank], *, wanted: Wanted | None, holder: str
+) -> dict[str, ranks.Order]:
+    """Return the next orders, by the name of the rank they go to.
+
+    Args:
+      by_name: What all ranks of the group report; see whole(). Each has
+        refused earlier holders before it reported.
+      wanted: The layout to bring into use, if any.
+      holder: The rank that is to hold the group.
+
+    Returns:
+      Orders that may be sent together; none if there is nothing to do, or
+      nothing but to wait.
+    """
+    armed = {item.armed for item in by_name.values() if item.armed}
+    held = {n: r.held for n, r in by_name.items() if r.held is not None}
+    if armed:
+        return _finish(by_name, min(armed), held, holder)
+    if held:
+        return _resume(by_name, held, holder)
+    if wanted is None:
+        return {}
+    return _begin(by_name, wanted, holder)
+
+
+def step_to_change_at(by_name: Mapping[str, ranks.Rank]) -> int:
+    """Return a step that no rank will begin before it can be held."""
+    return max(item.step for item in by_name.values()) + MARGIN_STEPS
+
+
+def _begin(
+    by_name: Mapping[str, ranks.Rank], wanted: Wanted, holder: str
+) -> dict[str, ranks.Order]:
+    """Have all ranks prepare a layout, then hold the group."""
+    if all(item.version == wanted.version for item in by_name.values()):
+        return {}
+    missing = {
+        name: item
+        for name, item in by_name.items()
+        if item.prepared != wanted.version
+    }
+    if missing:
+        order = ranks.Prepare(wanted.version, wanted.table)
+        return {n: order for n, item in missing.items() if not item.copying}
+    return {holder: ranks.Hold(step_to_change_at(by_name))}
+
+
+def _resume(
+    by_name: Mapping[str, ranks.Rank], held: dict[str, int], holder: str
+) -> dict[str, ranks.Order]:
+    """Go on with a group that is held while no rank is armed."""
+    prepared = {item.prepared for item in by_name.values()}
+    version = prepared.pop()
+    step = min(held.values())
+    same = not prepared and version is not None
+    if not same or step <= max(item.step for item in by_name.values()):
+        return {name: ranks.Go(at) for name, at in held.items()}
+    return _finish(by_name, ranks.Armed(version, step), held, holder)
+
+
+def _finish(
+    by_name: Mapping[str, ranks.Rank],
+    change: ranks.Armed,
+    held: dict[str, int],
+    holder: str,
+) -> dict[str, ranks.Order]:
+    """Arm all ranks for a change, then let the group go on."""
+    open_to_it = {
+        name
+        for name, item in by_name.items()
+        if item.armed != change and item.version != change.version
+    }
+    unfit = [
+        name
+        for name in open_to_it
+        if by_name[name].armed or by_name[name].prepared != change.version
+    ]
+    if unfit:
+        return _abandon(by_name, held)
+    if open_to_it and change.step not in held.values():
+        # Somebody armed a rank without a hold; nothing may begin that step.
+        return {holder: ranks.Hold(change.step)}
+    if open_to_it:
+        order = ranks.Arm(change.version, change.step)
+        return dict.fromkeys(sorted(open_to_it), order)
+    return {name: ranks.Go(at) for name, at in held.items()}
+
+
+def _abandon(
+    by_name: Mapping[str, ranks.Rank], held: dict[str, int]
+) -> dict[str, ranks.Order]:
+    """Disarm every rank before the group goes on as it was."""
+    armed = {
+        name: ranks.Disarm(item.armed.version)
+        for name, item in by_name.items()
+        if item.armed
+    }
+    return armed or {name: ranks.Go(at) for name, at in held.items()}
--- a/packages/reelscale-core/src/reelscale_core/settings.py
+++ b/packages/reelscale-core/src/reelscale_core/settings.py
@@ -40,6 +40,7 @@
     peers: tuple[str, ...]
     operators: tuple[Operator, ...]
     engine: str
+    target: str
     kind: str
     slots: int
     checks_fence: bool
@@ -87,9 +88,10 @@
         own = not document.get("adapter")
         if role == "entry" and own and not document.get("operators"):
             found.append(error.Fault("/operators", "at least one operator"))
-        for name in ("health", "usage"):
+        needed = ("health", "usage") if role == "entry" else ("target",)
+        for name in needed:
             if not own and not document.get(name):
-                place = "an address, as there is an adapter"
+                place = "a value, as there is an adapter"
                 found.append(error.Fault(f"/{name}", place))
     if found:
         raise error.CodedError(
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -7,9 +7,10 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from reelscale_core import announcement, clock, error, settings
+from reelscale_core import announcement, clock, demand, error, rank, settings
 
 from ..exchange import connection, pool
 from ..filters import call
@@ -63,6 +64,62 @@
         ...
 
 
+class RankPort(Protocol):
+    """The rank beside an agent; errors are CodedError "rank-lost"."""
+
+    async def report(self) -> rank.Rank:
+        """Return what the rank reports now."""
+        ...
+
+    async def counted(self) -> demand.Counted:
+        """Return how often its requests have chosen each expert."""
+        ...
+
+    async def experts(self) -> tuple[tuple[int, ...], ...]:
+        """Return the experts that it holds, by set of layers."""
+        ...
+
+    async def order(
+        self, order: rank.Order, *, fence: int, epoch: int
+    ) -> rank.Outcome:
+        """Give it an order, which is void in another epoch."""
+        ...
+
+
+class EngineLimits(NamedTuple):
+    """What the engine of a group allows.
+
+    Attributes:
+      experts: Experts in each set of layers.
+      places: Experts of a set that a rank holds at most.
+      spare: Experts of a set that a rank may load in one change.
+    """
+
+    experts: int
+    places: int
+    spare: int
+
+
+class Engines(Protocol):
+    """What the operators say of engines."""
+
+    async def limits(self, target: str) -> EngineLimits | None:
+        """Return those of a group, if there are; CodedError "log-down"."""
+        ...
+
+
+class Lease(Protocol):
+    """The right to change the layout of one group; CodedError "log-down"."""
+
+    async def renew(self) -> int | None:
+        """Ask for the lease, or to keep it; return its fence if held."""
+        ...
+
+    async def leave(self) -> None:
+        """Give it up."""
+        ...
+
+
 class Answered(NamedTuple):
     """The head of an upstream's answer, in our terms.
 
@@ -131,6 +188,22 @@
     surface: Surface
 
 
+class AgentAdapter(NamedTuple):
+    """All that the agent of a rank needs of one platform.
+
+    Attributes:
+      port_to: Gives the rank at an "ip:port", the own one or another's.
+      roster: The platform's list.
+      engines: What the operators say of engines.
+      lease: The right to change the group's layout.
+    """
+
+    port_to: Callable[[str], RankPort]
+    roster: Roster
+    engines: Engines
+    lease: Lease
+
+
 class Maker(Protocol):
     """Makes the adapter of a platform; a function of its package."""
 
@@ -144,3 +217,18 @@
     ) -> Adapter:
         """Make the adapter."""
         ...
+
+
+class AgentMaker(Protocol):
+    """Makes what an agent needs; a function of the platform's package."""
+
+    def __call__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        settings: settings.Settings,
+        connections: pool.Pool,
+    ) -> AgentAdapter:
+        """Make the adapter."""
+        ...
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/own_rank.py
@@ -0,0 +1,73 @@
+"""The rank beside this agent: what it tells others, the orders it passes on.
+
+Asked from its own machine a rank answers at once and for nothing, so agents
+ask their own rank and each other, never another's rank.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from reelscale_core import error, rank
+from reelscale_wire.gen import ttypes
+
+from .. import logs, rank_wire
+from ..adapters import base
+
+LOG = logs.Part("rank")
+
+
+class OwnRank:
+    """Answers other agents for the rank beside this one."""
+
+    def __init__(self, *, port: base.RankPort) -> None:
+        self._port = port
+
+    async def tell(self, *, counts: bool, experts: bool) -> rank_wire.Told:
+        """Return what the rank reports; CodedError "rank-lost"."""
+        report = await self._port.report()
+        counted = await self._port.counted() if counts else None
+        held = await self._port.experts() if experts else None
+        return rank_wire.Told(report, counted, held)
+
+    async def answer(self, query: ttypes.RankQuery) -> ttypes.RankTold:
+        """Answer another agent."""
+        told = await self.tell(
+            counts=bool(query.counts), experts=bool(query.experts)
+        )
+        return rank_wire.to_told(told)
+
+    async def order(self, message: ttypes.RankOrder) -> ttypes.RankAnswer:
+        """Pass an order of the holder on; tell the rank's state after it."""
+        order = rank_wire.from_order(message)
+        outcome = await self._port.order(
+            order, fence=message.fence, epoch=message.epoch
+        )
+        LOG.info(
+            "An order was passed on.",
+            order=message.kind,
+            fence=message.fence,
+            epoch=message.epoch,
+            version=message.version,
+            step=message.step,
+            outcome=outcome.name.lower(),
+        )
+        return ttypes.RankAnswer(
+            outcome=int(outcome), rank=await self._told_now()
+        )
+
+    async def _told_now(self) -> ttypes.RankTold | None:
+        """Return the rank's state; None if it does not answer."""
+        try:
+            told = await self.tell(counts=False, experts=False)
+        except error.CodedError as lost:
+            LOG.warning("The rank does not answer.", reason=lost.detail)
+            return None
+        return rank_wire.to_told(told)
+
+
+def outcome_of(answer: ttypes.RankAnswer) -> rank.Outcome:
+    """Read the outcome of an answer; unknown if it makes no sense."""
+    try:
+        return rank.Outcome(answer.outcome)
+    except ValueError:
+        return rank.Outcome.UNKNOWN
--- a/packages/reelscale-daemon/src/reelscale_daemon/main.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/main.py
@@ -48,9 +48,14 @@
 @app.command("agent")
 def run_agent(settings_file: SettingsFile) -> None:
     """Run an agent: beside one upstream."""
+    given = _settings(settings_file, "agent")
+    if given.adapter:
+        from . import rank_agent
+
+        _run(rank_agent.RankAgent(reactor=reactor, settings=given))
+        return
     from . import agent
 
-    given = _settings(settings_file, "agent")
     _run(agent.Agent(reactor=reactor, settings=given))
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/process.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -22,8 +22,53 @@
 STOP_POLL_S = 0.05
 
 
-class Base:
-    """The parts that every process has.
+class Listener:
+    """The ports of a process, and its stop on a signal.
+
+    Attributes:
+      stopping: Whether it has been told to stop.
+    """
+
+    def __init__(self, *, reactor: Any) -> None:
+        self.reactor = reactor
+        self.stopping = False
+        self._ports: list[Any] = []
+
+    async def listen(self, address: str, factory: Any) -> None:
+        """Serve a factory at "ip:port"."""
+        host, port = address.rsplit(":", 1)
+        point = endpoints.TCP4ServerEndpoint(
+            self.reactor, int(port), interface=host, backlog=512
+        )
+        self._ports.append(await point.listen(factory))
+
+    async def stop_listening(self) -> None:
+        """Take no more connections; those that stand go on."""
+        ports, self._ports = self._ports, []
+        for port in ports:
+            await defer.maybeDeferred(port.stopListening)
+
+    def on_signal(self, stop: Callable[[], Awaitable[None]]) -> None:
+        """Stop in order on SIGTERM or SIGINT; further ones change nothing."""
+
+        def handle(*_: Any) -> None:
+            self.reactor.callFromThread(begin)
+
+        def begin() -> None:
+            if self.stopping:
+                LOG.info("Already stopping; requests in progress go on.")
+                return
+            self.stopping = True
+            LOG.info("Stopping in order.")
+            done = defer.ensureDeferred(stop())
+            done.addBoth(lambda _: self.reactor.stop())
+
+        signal.signal(signal.SIGTERM, handle)
+        signal.signal(signal.SIGINT, handle)
+
+
+class Base(Listener):
+    """The parts that every process has that follows the configuration.
 
     Attributes:
       settings: What the process was told.
@@ -43,7 +88,7 @@
         clock: clock.Clock,
         peer_lead_s: float | None = None,
     ) -> None:
-        self.reactor = reactor
+        super().__init__(reactor=reactor)
         self.settings = settings
         self.clock = clock
         self.incarnation = uuid.uuid4().hex[:12]
@@ -58,8 +103,6 @@
             snapshot_every=settings.snapshot_every,
             peer_lead_s=peer_lead_s,
         )
-        self.stopping = False
-        self._ports: list[Any] = []
 
     def not_ready(self) -> str:
         """Return why no entry could serve now, empty when one could."""
@@ -72,38 +115,6 @@
         metrics.offset.set({}, self.config.state.offset)
         metrics.log_age.set({}, self.config.shown_log_age_s())
 
-    async def listen(self, address: str, factory: Any) -> None:
-        """Serve a factory at "ip:port"."""
-        host, port = address.rsplit(":", 1)
-        point = endpoints.TCP4ServerEndpoint(
-            self.reactor, int(port), interface=host, backlog=512
-        )
-        self._ports.append(await point.listen(factory))
-
-    async def stop_listening(self) -> None:
-        """Take no more connections; those that stand go on."""
-        ports, self._ports = self._ports, []
-        for port in ports:
-            await defer.maybeDeferred(port.stopListening)
-
-    def on_signal(self, stop: Callable[[], Awaitable[None]]) -> None:
-        """Stop in order on SIGTERM or SIGINT; further ones change nothing."""
-
-        def handle(*_: Any) -> None:
-            self.reactor.callFromThread(begin)
-
-        def begin() -> None:
-            if self.stopping:
-                LOG.info("Already stopping; requests in progress go on.")
-                return
-            self.stopping = True
-            LOG.info("Stopping in order.")
-            done = defer.ensureDeferred(stop())
-            done.addBoth(lambda _: self.reactor.stop())
-
-        signal.signal(signal.SIGTERM, handle)
-        signal.signal(signal.SIGINT, handle)
-
 
 def site(root: Any, request_class: Any = None) -> server.Site:
     """Return an HTTP site without an access log."""
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_wire.py
@@ -0,0 +1,97 @@
+"""What the agents of ranks tell each other, to and from thrift."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import NamedTuple
+
+from reelscale_core import demand, rank
+from reelscale_wire.gen import ttypes
+
+ORDERS_BY_KIND: dict[str, type[rank.Order]] = {
+    kind.__name__.lower(): kind
+    for kind in (
+        rank.Fence,
+        rank.Prepare,
+        rank.Arm,
+        rank.Disarm,
+        rank.Hold,
+        rank.Go,
+    )
+}
+
+
+class Told(NamedTuple):
+    """What an agent tells of its rank.
+
+    Attributes:
+      rank: What the rank reports.
+      counted: Its counters, if they were asked for.
+      experts: What it holds, by set of layers, if that was asked for.
+    """
+
+    rank: rank.Rank
+    counted: demand.Counted | None = None
+    experts: tuple[tuple[int, ...], ...] | None = None
+
+
+def to_told(told: Told) -> ttypes.RankTold:
+    """Turn what an agent tells into a message."""
+    armed = told.rank.armed
+    fields = told.rank._asdict()
+    del fields["armed"]
+    return ttypes.RankTold(
+        armed_version=armed.version if armed else None,
+        armed_step=armed.step if armed else None,
+        counts=list(told.counted.counts) if told.counted else None,
+        experts=told.experts,
+        **fields,
+    )
+
+
+def from_told(message: ttypes.RankTold) -> Told:
+    """Read what an agent tells; ValueError if a field is missing."""
+    fields = {name: getattr(message, name) for name in rank.Rank._fields[:8]}
+    if None in fields.values():
+        raise ValueError("a field of the rank is missing")
+    armed = None
+    if message.armed_version is not None and message.armed_step is not None:
+        armed = rank.Armed(message.armed_version, message.armed_step)
+    found = rank.Rank(
+        **fields, prepared=message.prepared, armed=armed, held=message.held
+    )
+    counted = None
+    if message.counts is not None:
+        counted = demand.Counted(found.epoch, tuple(message.counts))
+    experts = None
+    if message.experts is not None:
+        experts = tuple(tuple(row) for row in message.experts)
+    return Told(found, counted, experts)
+
+
+def to_order(order: rank.Order, *, fence: int, epoch: int) -> ttypes.RankOrder:
+    """Turn an order into a message."""
+    fields = order._asdict()
+    return ttypes.RankOrder(
+        kind=type(order).__name__.lower(),
+        fence=fence,
+        epoch=epoch,
+        version=fields.get("version", 0),
+        step=fields.get("step", 0),
+        table=fields.get("table"),
+    )
+
+
+def from_order(message: ttypes.RankOrder) -> rank.Order:
+    """Read an order; ValueError if it is none."""
+    kind = ORDERS_BY_KIND.get(message.kind)
+    if kind is None:
+        raise ValueError(f"unknown order {message.kind!r}")
+    values = [getattr(message, name) for name in kind._fields]
+    if None in values:
+        raise ValueError("a field of the order is missing")
+    if kind is rank.Prepare:
+        version, table = values
+        rows = (tuple(tuple(held) for held in row) for row in table)
+        return rank.Prepare(version, tuple(rows))
+    return kind(*values)
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -163,6 +163,60 @@
   5: list<string> known,   // Hosts of entries that the sender knows.
   6: i64 offset,           // Configuration in force at the sender.
   7: string peer,          // Address for calls to the sender.
+  8: i64 roster_offset,    // Where the sender reads the list on.
+}
+
+// What the agent of a rank is asked for; see core/rank.py.
+struct RankQuery {
+  1: bool counts,          // Whether counts are wanted.
+  2: bool experts,         // Whether the experts of the rank are wanted.
+}
+
+struct RankTold {
+  1: string group,
+  2: i64 epoch,
+  3: i32 number,
+  4: i32 size,
+  5: bool open,
+  6: i64 step,
+  7: i64 version,
+  8: bool copying,
+  9: optional i64 prepared,
+  10: optional i64 armed_version,
+  11: optional i64 armed_step,
+  12: optional i64 held,
+  13: optional list<i64> counts,
+  14: optional list<list<i32>> experts,  // By set of layers.
+}
+
+struct RankOrder {
+  1: string kind,          // Name of the order, in lower case.
+  2: i64 fence,
+  3: i64 epoch,            // The order is void in any other.
+  4: i64 version,
+  5: i64 step,
+  6: optional list<list<list<i32>>> table,  // With prepare.
+}
+
+struct RankAnswer {
+  1: i32 outcome,          // See core/rank.py, Outcome.
+  2: optional RankTold rank,             // After the order.
+}
+
+struct RosterQuery { 1: i64 have_offset }
+
+struct RosterItem {
+  1: string name,
+  2: string target,
+  3: string address,
+  4: string hall,
+  5: i32 slots,
+  6: bool leaving,
+}
+
+struct RosterReply {
+  1: i64 offset,           // Where to read on; 0 if there is no list.
+  2: list<RosterItem> items,  // Empty when the asker is not behind.
 }
 
 service Peer {
@@ -173,4 +227,7 @@
   Verdict cancel(1: Cancel request),
   OrderReply order(1: Order order),
   KeyReply key(1: KeyRequest request),
+  RankTold rank(1: RankQuery query),
+  RankAnswer order_rank(1: RankOrder order),
+  RosterReply roster(1: RosterQuery query),
 }
--- a/packages/reelscale-wire/src/reelscale_wire/gen/Peer.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/Peer.py
@@ -78,6 +78,30 @@
         """
         pass
 
+    def rank(query):
+        """
+        Parameters:
+         - query
+
+        """
+        pass
+
+    def order_rank(order):
+        """
+        Parameters:
+         - order
+
+        """
+        pass
+
+    def roster(query):
+        """
+        Parameters:
+         - query
+
+        """
+        pass
+
 
 @implementer(Iface)
 class Client(object):
@@ -424,6 +448,150 @@
             return d.callback(result.success)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "key failed: unknown result"))
 
+    def rank(self, query):
+        """
+        Parameters:
+         - query
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_rank, query)
+        d.addCallbacks(
+            callback=self.cb_send_rank,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_rank,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_rank(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_rank(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_rank(self, query):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('rank', TMessageType.CALL, self._seqid)
+        args = rank_args()
+        args.query = query
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_rank(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = rank_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "rank failed: unknown result"))
+
+    def order_rank(self, order):
+        """
+        Parameters:
+         - order
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_order_rank, order)
+        d.addCallbacks(
+            callback=self.cb_send_order_rank,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_order_rank,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_order_rank(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_order_rank(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_order_rank(self, order):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('order_rank', TMessageType.CALL, self._seqid)
+        args = order_rank_args()
+        args.order = order
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_order_rank(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = order_rank_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "order_rank failed: unknown result"))
+
+    def roster(self, query):
+        """
+        Parameters:
+         - query
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_roster, query)
+        d.addCallbacks(
+            callback=self.cb_send_roster,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_roster,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_roster(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_roster(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_roster(self, query):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('roster', TMessageType.CALL, self._seqid)
+        args = roster_args()
+        args.query = query
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_roster(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = roster_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "roster failed: unknown result"))
+
 
 @implementer(Iface)
 class Processor(TProcessor):
@@ -437,6 +605,9 @@
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["order"] = Processor.process_order
         self._processMap["key"] = Processor.process_key
+        self._processMap["rank"] = Processor.process_rank
+        self._processMap["order_rank"] = Processor.process_order_rank
+        self._processMap["roster"] = Processor.process_roster
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -710,6 +881,114 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_rank(self, seqid, iprot, oprot):
+        args = rank_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = rank_result()
+        d = defer.maybeDeferred(self._handler.rank, args.query)
+        d.addCallback(self.write_results_success_rank, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_rank, result, seqid, oprot)
+        return d
+
+    def write_results_success_rank(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("rank", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_rank(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("rank", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_order_rank(self, seqid, iprot, oprot):
+        args = order_rank_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = order_rank_result()
+        d = defer.maybeDeferred(self._handler.order_rank, args.order)
+        d.addCallback(self.write_results_success_order_rank, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_order_rank, result, seqid, oprot)
+        return d
+
+    def write_results_success_order_rank(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("order_rank", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_order_rank(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("order_rank", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_roster(self, seqid, iprot, oprot):
+        args = roster_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = roster_result()
+        d = defer.maybeDeferred(self._handler.roster, args.query)
+        d.addCallback(self.write_results_success_roster, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_roster, result, seqid, oprot)
+        return d
+
+    def write_results_success_roster(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("roster", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_roster(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("roster", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1586,5 +1865,380 @@
 key_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [KeyReply, None], None, ),  # 0
 )
+
+
+class rank_args(object):
+    """
+    Attributes:
+     - query
+
+    """
+
+
+    def __init__(self, query=None,):
+        self.query = query
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.query = RankQuery()
+                    self.query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('rank_args')
+        if self.query is not None:
+            oprot.writeFieldBegin('query', TType.STRUCT, 1)
+            self.query.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(rank_args)
+rank_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'query', [RankQuery, None], None, ),  # 1
+)
+
+
+class rank_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = RankTold()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('rank_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(rank_result)
+rank_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RankTold, None], None, ),  # 0
+)
+
+
+class order_rank_args(object):
+    """
+    Attributes:
+     - order
+
+    """
+
+
+    def __init__(self, order=None,):
+        self.order = order
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.order = RankOrder()
+                    self.order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('order_rank_args')
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.STRUCT, 1)
+            self.order.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(order_rank_args)
+order_rank_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'order', [RankOrder, None], None, ),  # 1
+)
+
+
+class order_rank_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = RankAnswer()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('order_rank_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(order_rank_result)
+order_rank_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RankAnswer, None], None, ),  # 0
+)
+
+
+class roster_args(object):
+    """
+    Attributes:
+     - query
+
+    """
+
+
+    def __init__(self, query=None,):
+        self.query = query
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.query = RosterQuery()
+                    self.query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('roster_args')
+        if self.query is not None:
+            oprot.writeFieldBegin('query', TType.STRUCT, 1)
+            self.query.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(roster_args)
+roster_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'query', [RosterQuery, None], None, ),  # 1
+)
+
+
+class roster_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = RosterReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('roster_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(roster_result)
+roster_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RosterReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -1912,11 +1912,12 @@
      - known
      - offset
      - peer
+     - roster_offset
 
     """
 
 
-    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None, offset=None, peer=None,):
+    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None, offset=None, peer=None, roster_offset=None,):
         self.name = name
         self.incarnation = incarnation
         self.number = number
@@ -1924,6 +1925,7 @@
         self.known = known
         self.offset = offset
         self.peer = peer
+        self.roster_offset = roster_offset
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1980,6 +1982,539 @@
                     self.peer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.roster_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Usage')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.MAP, 4)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.counts))
+            for kiter57, viter58 in self.counts.items():
+                oprot.writeI32(kiter57)
+                oprot.writeI32(viter58)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.known))
+            for iter59 in self.known:
+                oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 6)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.peer is not None:
+            oprot.writeFieldBegin('peer', TType.STRING, 7)
+            oprot.writeString(self.peer.encode('utf-8') if sys.version_info[0] == 2 else self.peer)
+            oprot.writeFieldEnd()
+        if self.roster_offset is not None:
+            oprot.writeFieldBegin('roster_offset', TType.I64, 8)
+            oprot.writeI64(self.roster_offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankQuery(object):
+    """
+    Attributes:
+     - counts
+     - experts
+
+    """
+
+
+    def __init__(self, counts=None, experts=None,):
+        self.counts = counts
+        self.experts = experts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.counts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.experts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankQuery')
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.BOOL, 1)
+            oprot.writeBool(self.counts)
+            oprot.writeFieldEnd()
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.BOOL, 2)
+            oprot.writeBool(self.experts)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankTold(object):
+    """
+    Attributes:
+     - group
+     - epoch
+     - number
+     - size
+     - open
+     - step
+     - version
+     - copying
+     - prepared
+     - armed_version
+     - armed_step
+     - held
+     - counts
+     - experts
+
+    """
+
+
+    def __init__(self, group=None, epoch=None, number=None, size=None, open=None, step=None, version=None, copying=None, prepared=None, armed_version=None, armed_step=None, held=None, counts=None, experts=None,):
+        self.group = group
+        self.epoch = epoch
+        self.number = number
+        self.size = size
+        self.open = open
+        self.step = step
+        self.version = version
+        self.copying = copying
+        self.prepared = prepared
+        self.armed_version = armed_version
+        self.armed_step = armed_step
+        self.held = held
+        self.counts = counts
+        self.experts = experts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.copying = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.prepared = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.armed_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.armed_step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.held = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI64()
+                        self.counts.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.experts = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = []
+                        (_etype75, _size72) = iprot.readListBegin()
+                        for _i76 in range(_size72):
+                            _elem77 = iprot.readI32()
+                            _elem71.append(_elem77)
+                        iprot.readListEnd()
+                        self.experts.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankTold')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 3)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I32, 4)
+            oprot.writeI32(self.size)
+            oprot.writeFieldEnd()
+        if self.open is not None:
+            oprot.writeFieldBegin('open', TType.BOOL, 5)
+            oprot.writeBool(self.open)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 6)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 7)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.copying is not None:
+            oprot.writeFieldBegin('copying', TType.BOOL, 8)
+            oprot.writeBool(self.copying)
+            oprot.writeFieldEnd()
+        if self.prepared is not None:
+            oprot.writeFieldBegin('prepared', TType.I64, 9)
+            oprot.writeI64(self.prepared)
+            oprot.writeFieldEnd()
+        if self.armed_version is not None:
+            oprot.writeFieldBegin('armed_version', TType.I64, 10)
+            oprot.writeI64(self.armed_version)
+            oprot.writeFieldEnd()
+        if self.armed_step is not None:
+            oprot.writeFieldBegin('armed_step', TType.I64, 11)
+            oprot.writeI64(self.armed_step)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.I64, 12)
+            oprot.writeI64(self.held)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 13)
+            oprot.writeListBegin(TType.I64, len(self.counts))
+            for iter78 in self.counts:
+                oprot.writeI64(iter78)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.LIST, 14)
+            oprot.writeListBegin(TType.LIST, len(self.experts))
+            for iter79 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter79))
+                for iter80 in iter79:
+                    oprot.writeI32(iter80)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankOrder(object):
+    """
+    Attributes:
+     - kind
+     - fence
+     - epoch
+     - version
+     - step
+     - table
+
+    """
+
+
+    def __init__(self, kind=None, fence=None, epoch=None, version=None, step=None, table=None,):
+        self.kind = kind
+        self.fence = fence
+        self.epoch = epoch
+        self.version = version
+        self.step = step
+        self.table = table
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.table = []
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = []
+                        (_etype90, _size87) = iprot.readListBegin()
+                        for _i91 in range(_size87):
+                            _elem92 = []
+                            (_etype96, _size93) = iprot.readListBegin()
+                            for _i97 in range(_size93):
+                                _elem98 = iprot.readI32()
+                                _elem92.append(_elem98)
+                            iprot.readListEnd()
+                            _elem86.append(_elem92)
+                        iprot.readListEnd()
+                        self.table.append(_elem86)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankOrder')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 2)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 5)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.LIST, 6)
+            oprot.writeListBegin(TType.LIST, len(self.table))
+            for iter99 in self.table:
+                oprot.writeListBegin(TType.LIST, len(iter99))
+                for iter100 in iter99:
+                    oprot.writeListBegin(TType.I32, len(iter100))
+                    for iter101 in iter100:
+                        oprot.writeI32(iter101)
+                    oprot.writeListEnd()
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankAnswer(object):
+    """
+    Attributes:
+     - outcome
+     - rank
+
+    """
+
+
+    def __init__(self, outcome=None, rank=None,):
+        self.outcome = outcome
+        self.rank = rank
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.outcome = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.rank = RankTold()
+                    self.rank.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1989,41 +2524,260 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Usage')
+        oprot.writeStructBegin('RankAnswer')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.I32, 1)
+            oprot.writeI32(self.outcome)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.STRUCT, 2)
+            self.rank.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RosterQuery(object):
+    """
+    Attributes:
+     - have_offset
+
+    """
+
+
+    def __init__(self, have_offset=None,):
+        self.have_offset = have_offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.have_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RosterQuery')
+        if self.have_offset is not None:
+            oprot.writeFieldBegin('have_offset', TType.I64, 1)
+            oprot.writeI64(self.have_offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RosterItem(object):
+    """
+    Attributes:
+     - name
+     - target
+     - address
+     - hall
+     - slots
+     - leaving
+
+    """
+
+
+    def __init__(self, name=None, target=None, address=None, hall=None, slots=None, leaving=None,):
+        self.name = name
+        self.target = target
+        self.address = address
+        self.hall = hall
+        self.slots = slots
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RosterItem')
         if self.name is not None:
             oprot.writeFieldBegin('name', TType.STRING, 1)
             oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
             oprot.writeFieldEnd()
-        if self.number is not None:
-            oprot.writeFieldBegin('number', TType.I64, 3)
-            oprot.writeI64(self.number)
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
-        if self.counts is not None:
-            oprot.writeFieldBegin('counts', TType.MAP, 4)
-            oprot.writeMapBegin(TType.I32, TType.I32, len(self.counts))
-            for kiter57, viter58 in self.counts.items():
-                oprot.writeI32(kiter57)
-                oprot.writeI32(viter58)
-            oprot.writeMapEnd()
+        if self.hall is not None:
+            oprot.writeFieldBegin('hall', TType.STRING, 4)
+            oprot.writeString(self.hall.encode('utf-8') if sys.version_info[0] == 2 else self.hall)
             oprot.writeFieldEnd()
-        if self.known is not None:
-            oprot.writeFieldBegin('known', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRING, len(self.known))
-            for iter59 in self.known:
-                oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
-            oprot.writeListEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 5)
+            oprot.writeI32(self.slots)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RosterReply(object):
+    """
+    Attributes:
+     - offset
+     - items
+
+    """
+
+
+    def __init__(self, offset=None, items=None,):
+        self.offset = offset
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = RosterItem()
+                        _elem107.read(iprot)
+                        self.items.append(_elem107)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RosterReply')
         if self.offset is not None:
-            oprot.writeFieldBegin('offset', TType.I64, 6)
+            oprot.writeFieldBegin('offset', TType.I64, 1)
             oprot.writeI64(self.offset)
             oprot.writeFieldEnd()
-        if self.peer is not None:
-            oprot.writeFieldBegin('peer', TType.STRING, 7)
-            oprot.writeString(self.peer.encode('utf-8') if sys.version_info[0] == 2 else self.peer)
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter108 in self.items:
+                iter108.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2213,6 +2967,68 @@
     (5, TType.LIST, 'known', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I64, 'offset', None, None, ),  # 6
     (7, TType.STRING, 'peer', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'roster_offset', None, None, ),  # 8
+)
+all_structs.append(RankQuery)
+RankQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'counts', None, None, ),  # 1
+    (2, TType.BOOL, 'experts', None, None, ),  # 2
+)
+all_structs.append(RankTold)
+RankTold.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.I32, 'number', None, None, ),  # 3
+    (4, TType.I32, 'size', None, None, ),  # 4
+    (5, TType.BOOL, 'open', None, None, ),  # 5
+    (6, TType.I64, 'step', None, None, ),  # 6
+    (7, TType.I64, 'version', None, None, ),  # 7
+    (8, TType.BOOL, 'copying', None, None, ),  # 8
+    (9, TType.I64, 'prepared', None, None, ),  # 9
+    (10, TType.I64, 'armed_version', None, None, ),  # 10
+    (11, TType.I64, 'armed_step', None, None, ),  # 11
+    (12, TType.I64, 'held', None, None, ),  # 12
+    (13, TType.LIST, 'counts', (TType.I64, None, False), None, ),  # 13
+    (14, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 14
+)
+all_structs.append(RankOrder)
+RankOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'fence', None, None, ),  # 2
+    (3, TType.I64, 'epoch', None, None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.I64, 'step', None, None, ),  # 5
+    (6, TType.LIST, 'table', (TType.LIST, (TType.LIST, (TType.I32, None, False), False), False), None, ),  # 6
+)
+all_structs.append(RankAnswer)
+RankAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'outcome', None, None, ),  # 1
+    (2, TType.STRUCT, 'rank', [RankTold, None], None, ),  # 2
+)
+all_structs.append(RosterQuery)
+RosterQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'have_offset', None, None, ),  # 1
+)
+all_structs.append(RosterItem)
+RosterItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'hall', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'slots', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+)
+all_structs.append(RosterReply)
+RosterReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+    (2, TType.LIST, 'items', (TType.STRUCT, [RosterItem, None], False), None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/standins/store.py
+++ b/standins/store.py
@@ -12,7 +12,9 @@
 import base64
 import collections
 import json
+import math
 import struct
+import time
 from typing import Any
 
 from twisted.internet import reactor
@@ -69,7 +71,7 @@
 
     def __init__(self) -> None:
         self.parts: dict[tuple[str, int], Partition] = {}
-        self.groups: dict[str, dict[str, int]] = {}
+        self.groups: dict[str, dict[str, float]] = {}
         self.generations: dict[str, int] = {}
         self.committed: dict[tuple[str, str, int], int] = {}
         self.reads: list[tuple[Any, tuple[str, int], int]] = []
@@ -254,7 +256,9 @@
         members = self.groups.setdefault(data["group"], {})
         if data["member"] not in members:
             self.generations[data["group"]] = self.generation(data) + 1
-        members[data["member"]] = data["ttl_ms"]
+        members[data["member"]] = time.monotonic() + data["ttl_ms"] / 1000
+        later_s = data["ttl_ms"] / 1000
+        reactor.callLater(later_s, self.lapse, data["group"], data["member"])
         mine = sorted(members).index(data["member"])
         parts = [
             [topic, number, self.committed.get((data["group"], topic, 0), 0)]
@@ -265,6 +269,13 @@
         answer = {"generation": self.generation(data), "parts": parts}
         web.finish(request, {**answer, "ttl_ms": data["ttl_ms"]})
 
+    def lapse(self, group: str, member: str) -> None:
+        """Take a member out that has been silent for its time."""
+        members = self.groups[group]
+        if members.get(member, math.inf) <= time.monotonic():
+            del members[member]
+            self.generations[group] += 1
+
     def generation(self, data: dict[str, Any]) -> int:
         """Return the generation of a group."""
         return self.generations.get(data["group"], 0)
--- a/standins/web.py
+++ b/standins/web.py
@@ -52,12 +52,14 @@
     return json.loads(request.content.read() or b"{}")
 
 
-def serve(function: Callable[[Any], Any], port: int) -> None:
+def serve(
+    function: Callable[[Any], Any], port: int, host: str = "127.0.0.1"
+) -> None:
     """Serve a function on loopback until the process is killed."""
     site = server.Site(Json(function))
     site.log = lambda _request: None
     site.noisy = False
-    reactor.listenTCP(port, site, interface="127.0.0.1", backlog=512)
+    reactor.listenTCP(port, site, interface=host, backlog=512)
 
 
 def arguments() -> dict[str, Any]:
