--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -9,25 +9,27 @@
 __license__ = "Apache-2.0"
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from reelscale_core import clock, error, rank
 from reelscale_wire import link
 from reelscale_wire.gen import ttypes
+from twisted.internet import defer
 
 from .. import logs, rank_wire
 from ..adapters import base
 from . import own_rank
 
 LOG = logs.Part("reach")
-# An agent that has not answered after this long, in seconds, is asked again;
-# the way there and back takes 3 ms, and the rank is given 0.06 s.
+# An agent that has not answered after this long, in seconds, connecting
+# included, is silent; the way there and back takes 3 ms, and the rank is
+# given 0.06 s.
 TIMEOUT_S = 0.25
-# The rank of an agent that was silent for so long, in seconds, is asked
-# itself: two questions in a row had no answer.
-SILENT_S = 0.4
-# Seconds between two such questions, since a cut lasts and each has a price.
-DIRECT_EVERY_S = 0.3
+# A silent agent is asked again this often, in seconds.
+AGAIN_S = 0.5
+# Seconds between two questions to its rank itself, each of which has a price;
+# a change that is to be finished needs a few in a row.
+DIRECT_EVERY_S = 0.05
 
 
 class Member(NamedTuple):
@@ -48,6 +50,7 @@
     def __init__(
         self,
         *,
+        reactor: Any,
         clock: clock.Clock,
         links: link.Links,
         port_to: Callable[[str], base.RankPort],
@@ -55,40 +58,46 @@
         """Make it.
 
         Args:
+          reactor: The loop.
           clock: The time.
           links: Connections to agents.
           port_to: Gives the rank at an address, which may be far.
         """
+        self._reactor = reactor
         self._clock = clock
         self._links = links
         self._port_to = port_to
         self._silent_since: dict[str, float] = {}
         self._asked_at: dict[str, float] = {}
+        self._tried_at: dict[str, float] = {}
 
     async def tell(
         self, member: Member, *, experts: bool
     ) -> rank_wire.Told | None:
         """Return what a rank reports, with its counters; None if nothing."""
         query = ttypes.RankQuery(counts=True, experts=experts)
-        try:
-            answer = await self._call(member, "rank", query)
-            return rank_wire.from_told(answer)
-        except (link.LinkError, ValueError):
-            # The silence shows: the group is not whole without this rank.
-            pass
-        if not self._may_ask(member):
-            return None
+        if not self._is_silent(member):
+            try:
+                answer = await self._call(member, "rank", query)
+                return rank_wire.from_told(answer)
+            except (link.LinkError, ValueError):
+                # The silence shows: the group may not be whole.
+                pass
+        self._try_again(member, query)
         return await self._tell_directly(member)
 
     async def order(
         self, member: Member, order: rank.Order, *, fence: int, epoch: int
     ) -> tuple[rank.Outcome, rank.Rank | None]:
         """Give a rank an order; return its outcome and the rank after it."""
+        if self._is_silent(member):
+            return await self._order_directly(
+                member, order, fence=fence, epoch=epoch
+            )
         message = rank_wire.to_order(order, fence=fence, epoch=epoch)
         try:
             answer = await self._call(member, "order_rank", message)
             told = answer.rank and rank_wire.from_told(answer.rank).rank
-            return own_rank.outcome_of(answer), told
         except (link.LinkError, ValueError) as lost:
             LOG.warning(
                 "An order has no answer.",
@@ -96,48 +105,69 @@
                 order=message.kind,
                 reason=str(lost),
             )
-        if not self._is_silent(member):
             return rank.Outcome.UNKNOWN, None
+        return own_rank.outcome_of(answer), told
+
+    async def _order_directly(
+        self, member: Member, order: rank.Order, *, fence: int, epoch: int
+    ) -> tuple[rank.Outcome, rank.Rank | None]:
+        """Give an order to a rank whose agent is silent."""
         port = self._port_to(member.upstream)
         outcome = await port.order(order, fence=fence, epoch=epoch)
         LOG.info(
             "An order went to a rank itself.",
             to=member.upstream,
-            order=message.kind,
+            order=type(order).__name__.lower(),
             outcome=outcome.name.lower(),
         )
+        self._asked_at.pop(member.agent, None)
         told = await self._tell_directly(member)
         return outcome, told.rank if told else None
 
     async def _call(
         self, member: Member, method: str, message: object
     ) -> object:
-        """Call an agent; note since when it is silent."""
+        """Call an agent; note whether it is silent."""
         to = self._links.to(member.agent)
+        calling = defer.ensureDeferred(
+            to.call(method, message, timeout_s=TIMEOUT_S)
+        )
+        # Connecting to a machine that is gone takes longer by itself.
+        calling.addTimeout(TIMEOUT_S, self._reactor)
         try:
-            answer = await to.call(method, message, timeout_s=TIMEOUT_S)
-        except link.LinkError:
+            answer = await calling
+        except (link.LinkError, defer.TimeoutError) as lost:
             now = self._clock.monotonic()
+            if member.agent not in self._silent_since:
+                LOG.warning("An agent is silent.", agent=member.agent)
             self._silent_since.setdefault(member.agent, now)
-            raise
-        self._silent_since.pop(member.agent, None)
+            raise link.LinkError(
+                peer=member.agent, step=method, written=True
+            ) from lost
+        if self._silent_since.pop(member.agent, None) is not None:
+            LOG.info("An agent answers again.", agent=member.agent)
         return answer
 
     def _is_silent(self, member: Member) -> bool:
+        return member.agent in self._silent_since
+
+    def _try_again(self, member: Member, query: ttypes.RankQuery) -> None:
+        """Ask a silent agent now and then, without waiting for it."""
         now = self._clock.monotonic()
-        since = self._silent_since.get(member.agent, now)
-        return now - since >= SILENT_S
+        if now - self._tried_at.get(member.agent, float("-inf")) < AGAIN_S:
+            return
+        self._tried_at[member.agent] = now
+        asked = defer.ensureDeferred(self._call(member, "rank", query))
+        # It stays silent then, which has been logged.
+        asked.addErrback(lambda failed: failed.trap(link.LinkError))
 
-    def _may_ask(self, member: Member) -> bool:
-        """Tell whether a rank is to be asked itself now."""
+    async def _tell_directly(self, member: Member) -> rank_wire.Told | None:
+        """Ask a rank itself, unless it was asked just now."""
         now = self._clock.monotonic()
         last = self._asked_at.get(member.agent, float("-inf"))
-        if not self._is_silent(member) or now - last < DIRECT_EVERY_S:
-            return False
+        if now - last < DIRECT_EVERY_S:
+            return None
         self._asked_at[member.agent] = now
-        return True
-
-    async def _tell_directly(self, member: Member) -> rank_wire.Told | None:
         try:
             found = await self._port_to(member.upstream).report()
         except error.CodedError:
