--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
@@ -49,7 +49,12 @@
         self._group = group.Group(
             reactor=reactor,
             clock=self._clock,
-            reach=reach.Reach(clock=self._clock, links=links, port_to=port_to),
+            reach=reach.Reach(
+                reactor=reactor,
+                clock=self._clock,
+                links=links,
+                port_to=port_to,
+            ),
             engines=self._adapter.engines,
             members=self._members,
             target=settings.target,
