--- a/features/models/relayout.py
+++ b/features/models/relayout.py
@@ -62,6 +62,10 @@
     Attributes:
       view: What it knows of the ranks, while it gives orders by it.
       asking: What it has heard of them since it asks all.
+      asked: Those that it has asked since then.
+      without: The rank that is missing while it fences the others, with
+        the epoch.
+      fenced_without: The same once they have refused earlier holders.
       pending: Orders whose outcome it does not know yet.
       unsure: Whether an order's answer was lost.
       fenced: Epoch in which all ranks refuse earlier holders.
@@ -71,6 +75,9 @@
     own: str
     view: dict[str, ranks.Rank] | None = None
     asking: dict[str, ranks.Rank] = dataclasses.field(default_factory=dict)
+    asked: list[str] = dataclasses.field(default_factory=list)
+    without: tuple[int, int] | None = None
+    fenced_without: tuple[int, int] | None = None
     pending: list[Sent] = dataclasses.field(default_factory=list)
     unsure: bool = False
     fencing: bool = False
@@ -94,6 +101,28 @@
         """Return a holder's next orders."""
         return relayout.plan(view, wanted=wanted, holder=holder)
 
+    def plan_without(
+        self, view: Mapping[str, ranks.Rank], missing: int
+    ) -> dict[str, ranks.Order]:
+        """Return a holder's next orders while a rank cannot be asked."""
+        return relayout.plan_without(view, missing)
+
+
+class Guess(Rules):
+    """The change is given up whichever rank is missing."""
+
+    def plan_without(
+        self, view: Mapping[str, ranks.Rank], missing: int
+    ) -> dict[str, ranks.Order]:
+        """Return orders as if no silent rank could be armed."""
+        armed = {
+            name: ranks.Disarm(item.armed.version)
+            for name, item in view.items()
+            if item.armed
+        }
+        held = {n: r.held for n, r in view.items() if r.held is not None}
+        return armed or {name: ranks.Go(step) for name, step in held.items()}
+
 
 class NoHold(Rules):
     """Ranks are armed for a step that nobody holds."""
@@ -106,10 +135,10 @@
     ) -> dict[str, ranks.Order]:
         """Return orders as if the hold had been taken."""
         orders = super().plan(view, wanted, holder)
-        hold = orders.get(holder)
-        if isinstance(hold, ranks.Hold):
-            held = view[holder]._replace(held=hold.step)
-            orders = super().plan({**view, holder: held}, wanted, holder)
+        for name, order in orders.items():
+            if isinstance(order, ranks.Hold):
+                held = view[name]._replace(held=order.step)
+                return super().plan({**view, name: held}, wanted, holder)
         return orders
 
 
@@ -143,6 +172,7 @@
     "without holding": NoHold,
     "without refusing earlier holders": NoFence,
     "without arming every rank": GoEarly,
+    "without knowing the silent rank": Guess,
 }
 
 
@@ -157,6 +187,7 @@
         self.step = 0
         self.late: list[Sent] = []
         self.holders: list[Holder] = []
+        self.frozen: str | None = None
         self.add_holder(Chooser([]))
 
     def act(self, chooser: Chooser) -> None:
@@ -167,6 +198,7 @@
             *[self.carry_out_late] * 6,
             self.add_holder,
             self.restart_rank,
+            self.freeze,
         ]
         chooser.pick(actions)(chooser)
 
@@ -258,6 +290,17 @@
             self.late.remove(sent)
             self.obey(sent)
 
+    def freeze(self, chooser: Chooser) -> None:
+        """Freeze a machine, the rank on it included, or wake it.
+
+        The rank steps on with the others, but nothing reaches it.
+        """
+        if self.frozen is not None:
+            self.frozen = None
+            return
+        owns = [holder.own for holder in self.holders[-2:]]
+        self.frozen = chooser.pick(owns)
+
     # The holders.
 
     def add_holder(self, chooser: Chooser) -> None:
@@ -270,7 +313,7 @@
         """Let a holder, perhaps one that was overtaken, go on."""
         newest = self.holders[-1]
         holder = chooser.pick([newest, newest, newest, *self.holders[-3:]])
-        if holder.stopped:
+        if holder.stopped or holder.own == self.frozen:
             return
         if holder.pending:
             self._resolve(holder, chooser)
@@ -281,15 +324,19 @@
 
     def _ask(self, holder: Holder, chooser: Chooser) -> None:
         """Hear one rank; with the last, know the group."""
-        missing = [name for name in self.names if name not in holder.asking]
+        missing = [name for name in self.names if name not in holder.asked]
         name = chooser.pick(missing)
-        holder.asking[name] = self.report(name)
+        holder.asked.append(name)
+        if name != self.frozen:
+            holder.asking[name] = self.report(name)
         if len(missing) > 1:
             return
-        heard, holder.asking = holder.asking, {}
+        heard, holder.asking, holder.asked = holder.asking, {}, []
         if not relayout.whole(heard):
             holder.wanted = None
+            self._go_on_without(holder, heard)
             return
+        holder.fenced_without = None
         epoch = heard[self.names[0]].epoch
         if self.rules.fences and holder.fenced != epoch:
             holder.wanted = None
@@ -303,6 +350,28 @@
             version = self._next_version(holder)
             holder.wanted = relayout.Wanted(version, ())
 
+    def _go_on_without(
+        self, holder: Holder, heard: dict[str, ranks.Rank]
+    ) -> None:
+        """Let the group go on where a holder fell silent with its rank."""
+        held = [item for item in heard.values() if item.held is not None]
+        missing = relayout.missing_number(heard)
+        if not held or missing is None:
+            holder.fenced_without = None
+            return
+        epoch = held[0].epoch
+        holder.fenced = None
+        if self.rules.fences and holder.fenced_without != (missing, epoch):
+            holder.fencing = True
+            holder.without = (missing, epoch)
+            order = ranks.Fence(self._next_version(holder))
+            self._send(holder, dict.fromkeys(heard, order), epoch)
+            return
+        orders = self.rules.plan_without(heard, missing)
+        holder.view = heard if orders else None
+        self._send(holder, orders, epoch)
+        holder.unsure = True
+
     def _next_version(self, holder: Holder) -> int:
         holder.versions += 1
         return holder.fence * VERSIONS_A_FENCE + holder.versions
@@ -336,6 +405,8 @@
         holder.pending.remove(sent)
         fate = chooser.pick(["answered"] * 7 + ["no answer", "late", "lost"])
         outcome = OUTCOMES.UNKNOWN
+        if sent.name == self.frozen:
+            fate = "lost"
         if fate == "answered":
             outcome = self.obey(sent)
         elif fate == "no answer":
@@ -362,7 +433,11 @@
         """Take the outcomes of a whole round in."""
         if holder.fencing:
             holder.fencing = False
-            holder.fenced = None if holder.unsure else epoch
+            if holder.without is None:
+                holder.fenced = None if holder.unsure else epoch
+            elif not holder.unsure:
+                holder.fenced_without = holder.without
+            holder.without = None
             holder.view = None
         elif holder.unsure or not relayout.whole(holder.view):
             holder.view = None
@@ -371,6 +446,7 @@
         """Let one new holder work without faults; tell if all agree."""
         none = Chooser([])
         self.late.clear()
+        self.frozen = None
         self.add_holder(none)
         self.holders = self.holders[-1:]
         for turn in range(400):
--- a/features/platform_layout.feature
+++ b/features/platform_layout.feature
@@ -39,6 +39,16 @@
     And the group is not held within 20 s
     And no step of the group began on two layouts
 
+  Scenario: The holder falls silent together with its rank
+    Given a group of ranks with agents
+    When an agent holds the lease for good
+    And the holder and its rank fall silent while the group is held
+    Then the group is not held within 20 s
+    When they are heard again
+    And other experts are wanted
+    Then its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
   Scenario: A frozen holder wakes and finds itself replaced
     Given a group of ranks with agents
     When an agent holds the lease for good
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -31,6 +31,7 @@
       | relayout | without holding                              |
       | relayout | without refusing earlier holders             |
       | relayout | without arming every rank                    |
+      | relayout | without knowing the silent rank              |
       | oncekeys | without asking earlier homes                 |
       | oncekeys | without refusing keys from before a restart  |
       | exchange | without tombstones                           |
--- a/features/steps/platform_layout_steps.py
+++ b/features/steps/platform_layout_steps.py
@@ -109,15 +109,29 @@
     _stop_while_held(context, lambda process: process.freeze())
 
 
+@when("the holder and its rank fall silent while the group is held")
+def _(context):
+    _stop_while_held(context, lambda process: process.freeze())
+    made = context.cluster
+    made.group(mute=[made.agents.index(context.holder_name)])
+
+
+@when("they are heard again")
+def _(context):
+    made = context.cluster
+    made.group(mute=[])
+    made.processes[context.holder_name].thaw()
+
+
 def _stop_while_held(context, stop):
     """Stop the holder's process between a hold and its end."""
     made = context.cluster
     # No order to go on arrives, so the group stays held.
     made.group(lose=1000, lose_op="go", late_s=60, hot=OTHERS)
     wait_for(lambda: made.group()["held_by"], "a hold", 20)
-    # The holder's own rank holds the group.
+    # The rank after the holder's holds the group.
     (number,) = made.group()["held_by"]
-    context.holder_name = made.agents[number]
+    context.holder_name = made.agents[number - 1]
     stop(made.processes[context.holder_name])
     assert made.group(lose=0)["held_by"]
 
--- a/packages/reelscale-core/src/reelscale_core/relayout.py
+++ b/packages/reelscale-core/src/reelscale_core/relayout.py
@@ -7,6 +7,12 @@
 be carried out, which then changes nothing.  A new holder first has every
 rank refuse its predecessors, then goes on with what it finds.
 
+A holder may fall silent together with its own rank, which then can neither
+be asked nor told.  So that the others know what that rank holds, the group is
+held at the rank after the holder's, and the rank before the one that holds
+is armed last: while any other is not armed, it is not either, and the others
+can give the change up without it.
+
 An order that is carried out late finds its step begun, its version used or
 its fence outdated, and the rank refuses it.
 """
@@ -50,6 +56,20 @@
     )
 
 
+def missing_number(by_name: Mapping[str, ranks.Rank]) -> int | None:
+    """Return the number of the one rank that is not among these, if one is."""
+    found = list(by_name.values())
+    if not found or len(found) != found[0].size - 1:
+        return None
+    left = set(range(found[0].size)) - {item.number for item in found}
+    first = found[0]
+    same = all(
+        item.open and (item.group, item.epoch) == (first.group, first.epoch)
+        for item in found
+    )
+    return left.pop() if same and len(left) == 1 else None
+
+
 def plan(
     by_name: Mapping[str, ranks.Rank], *, wanted: Wanted | None, holder: str
 ) -> dict[str, ranks.Order]:
@@ -76,6 +96,29 @@
     return _begin(by_name, wanted, holder)
 
 
+def plan_without(
+    by_name: Mapping[str, ranks.Rank], missing: int
+) -> dict[str, ranks.Order]:
+    """Return orders that let a group go on whose holder has fallen silent.
+
+    Args:
+      by_name: What all ranks but one report; see plan().
+      missing: The number of that one.
+
+    Returns:
+      Orders; none unless it is certain that the missing rank is not armed.
+    """
+    held = {n: r for n, r in by_name.items() if r.held is not None}
+    if len(held) != 1:
+        return {}
+    ((name, holding),) = held.items()
+    if _armed_last(holding) != missing:
+        return {}
+    if all(item.armed for item in by_name.values()):
+        return {}
+    return _abandon(by_name, {name: holding.held})
+
+
 def step_to_change_at(by_name: Mapping[str, ranks.Rank]) -> int:
     """Return a step that no rank will begin before it can be held."""
     return max(item.step for item in by_name.values()) + MARGIN_STEPS
@@ -95,7 +138,20 @@
     if missing:
         order = ranks.Prepare(wanted.version, wanted.table)
         return {n: order for n, item in missing.items() if not item.copying}
-    return {holder: ranks.Hold(step_to_change_at(by_name))}
+    return {_next(by_name, holder): ranks.Hold(step_to_change_at(by_name))}
+
+
+def _next(by_name: Mapping[str, ranks.Rank], holder: str) -> str:
+    """Return the rank that holds the group for a holder."""
+    own = by_name[holder]
+    wanted = (own.number + 1) % own.size
+    (name,) = [n for n, r in by_name.items() if r.number == wanted]
+    return name
+
+
+def _armed_last(holding: ranks.Rank) -> int:
+    """Return the number of the rank that is armed after all others."""
+    return (holding.number - 1) % holding.size
 
 
 def _resume(
@@ -132,13 +188,24 @@
         return _abandon(by_name, held)
     if open_to_it and change.step not in held.values():
         # Somebody armed a rank without a hold; nothing may begin that step.
-        return {holder: ranks.Hold(change.step)}
+        return {_next(by_name, holder): ranks.Hold(change.step)}
     if open_to_it:
         order = ranks.Arm(change.version, change.step)
-        return dict.fromkeys(sorted(open_to_it), order)
+        return dict.fromkeys(_those_first(by_name, open_to_it, held), order)
     return {name: ranks.Go(at) for name, at in held.items()}
 
 
+def _those_first(
+    by_name: Mapping[str, ranks.Rank],
+    unarmed: set[str],
+    held: Mapping[str, int],
+) -> list[str]:
+    """Return the ranks to arm now: all but those that are armed last."""
+    last = {_armed_last(by_name[name]) for name in held}
+    first = [n for n in unarmed if by_name[n].number not in last]
+    return sorted(first or unarmed)
+
+
 def _abandon(
     by_name: Mapping[str, ranks.Rank], held: dict[str, int]
 ) -> dict[str, ranks.Order]:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -40,6 +40,9 @@
 LEAST_GAIN = 0.1
 # Versions of one holder lie so many apart from those of the next.
 VERSIONS_A_FENCE = 1000
+# Rounds that give a change up: its ranks are disarmed, the group goes on, and
+# each may be lost a few times.
+ROUNDS_WITHOUT = 8
 # Rounds of orders without a pause; each takes a few milliseconds.
 MOST_ROUNDS = 60
 
@@ -142,6 +145,7 @@
         by_name = await self._ask_all()
         if not relayout.whole(by_name):
             self._wanted = None
+            await self._go_on_without(by_name)
             return
         epoch = next(iter(by_name.values())).epoch
         if self._fenced != (self._fence, epoch):
@@ -160,6 +164,33 @@
             self._wanted = self._choose(by_name) if self._busy else None
         await self._drive(by_name, epoch)
 
+    async def _go_on_without(self, by_name: dict[str, rank.Rank]) -> None:
+        """Let the group go on where a holder fell silent with its rank."""
+        held = [item for item in by_name.values() if item.held is not None]
+        if not held or relayout.missing_number(by_name) is None:
+            return
+        epoch = held[0].epoch
+        self._fenced = None
+        if not await self._refuse_earlier(by_name, epoch):
+            return
+        # The missing rank does not know this fence yet.
+        self._fenced = None
+        for _ in range(ROUNDS_WITHOUT):
+            by_name = await self._ask_all()
+            missing = relayout.missing_number(by_name)
+            if missing is None:
+                return
+            orders = relayout.plan_without(by_name, missing)
+            if not orders:
+                return
+            LOG.info(
+                "A change is given up; its holder and a rank are silent.",
+                missing=missing,
+                epoch=epoch,
+                orders=len(orders),
+            )
+            await self._send(orders, epoch)
+
     async def _refuse_earlier(
         self, by_name: Mapping[str, rank.Rank], epoch: int
     ) -> bool:
--- a/standins/ranks.py
+++ b/standins/ranks.py
@@ -6,7 +6,8 @@
 last steps; POST sets faults: "lose" (of so many of the next orders the
 answer is lost), "lose_op" (only of that kind), "late_s" (those are carried
 out that much later), "restart" (a rank restarts, so the group forms anew),
-"hot" (the experts wanted) and "running" (requests that each rank has).
+"hot" (the experts wanted), "running" (requests that each rank has) and "mute"
+(the numbers of ranks that answer nobody).
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -78,6 +79,7 @@
         self.late_s = 0.0
         self.hot = [0]
         self.running = SLOTS
+        self.mute: list[int] = []
 
     def begin_step(self) -> None:
         """Begin the next step, unless a rank holds it."""
@@ -111,6 +113,8 @@
         rank = self.ranks[number]
 
         def handle(request: Any) -> Any:
+            if number in self.mute and request.path != b"/control":
+                return server.NOT_DONE_YET
             match request.path.decode():
                 case "/control":
                     return self.control(request)
