--- a/features/steps/platform_layout_steps.py
+++ b/features/steps/platform_layout_steps.py
@@ -111,7 +111,7 @@
 
 @when("the holder and its rank fall silent while the group is held")
 def _(context):
-    _stop_while_held(context, lambda process: process.freeze())
+    _stop_while_held(context, lambda process: process.freeze(), "arm")
     made = context.cluster
     made.group(mute=[made.agents.index(context.holder_name)])
 
@@ -123,11 +123,13 @@
     made.processes[context.holder_name].thaw()
 
 
-def _stop_while_held(context, stop):
-    """Stop the holder's process between a hold and its end."""
+def _stop_while_held(context, stop, lost="go"):
+    """Stop the holder's process between a hold and its end.
+
+    No order of the kind that is lost arrives, so the group stays held.
+    """
     made = context.cluster
-    # No order to go on arrives, so the group stays held.
-    made.group(lose=1000, lose_op="go", late_s=60, hot=OTHERS)
+    made.group(lose=1000, lose_op=lost, late_s=60, hot=OTHERS)
     wait_for(lambda: made.group()["held_by"], "a hold", 20)
     # The rank after the holder's holds the group.
     (number,) = made.group()["held_by"]
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/own_rank.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/own_rank.py
@@ -21,6 +21,7 @@
 
     def __init__(self, *, port: base.RankPort) -> None:
         self._port = port
+        self._lost = False
 
     async def tell(self, *, counts: bool, experts: bool) -> rank_wire.Told:
         """Return what the rank reports; CodedError "rank-lost"."""
@@ -30,12 +31,27 @@
         return rank_wire.Told(report, counted, held)
 
     async def answer(self, query: ttypes.RankQuery) -> ttypes.RankTold:
-        """Answer another agent."""
-        told = await self.tell(
-            counts=bool(query.counts), experts=bool(query.experts)
-        )
+        """Answer another agent; with nothing if the rank does not answer."""
+        try:
+            told = await self.tell(
+                counts=bool(query.counts), experts=bool(query.experts)
+            )
+        except error.CodedError as lost:
+            self._note_lost(lost)
+            return ttypes.RankTold()
+        self._note_heard()
         return rank_wire.to_told(told)
 
+    def _note_lost(self, lost: error.CodedError) -> None:
+        if not self._lost:
+            LOG.warning("The rank does not answer.", reason=lost.detail)
+        self._lost = True
+
+    def _note_heard(self) -> None:
+        if self._lost:
+            LOG.info("The rank answers again.")
+        self._lost = False
+
     async def order(self, message: ttypes.RankOrder) -> ttypes.RankAnswer:
         """Pass an order of the holder on; tell the rank's state after it."""
         order = rank_wire.from_order(message)
@@ -60,7 +76,7 @@
         try:
             told = await self.tell(counts=False, experts=False)
         except error.CodedError as lost:
-            LOG.warning("The rank does not answer.", reason=lost.detail)
+            self._note_lost(lost)
             return None
         return rank_wire.to_told(told)
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -80,8 +80,11 @@
             try:
                 answer = await self._call(member, "rank", query)
                 return rank_wire.from_told(answer)
-            except (link.LinkError, ValueError):
-                # The silence shows: the group may not be whole.
+            except ValueError:
+                # The agent cannot ask its rank either, and has logged why.
+                return None
+            except link.LinkError:
+                # Its silence has been logged; the rank may still answer.
                 pass
         self._try_again(member, query)
         return await self._tell_directly(member)
--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
@@ -60,6 +60,7 @@
             target=settings.target,
         )
 
+        self._looking: defer.Deferred | None = None
         self._keeper = lease_keeper.LeaseKeeper(
             reactor=reactor,
             clock=self._clock,
@@ -89,7 +90,7 @@
         await self._listener.listen(own.peer, link.Server(handler=self))
         await self._listener.listen(own.http, self._probes())
         defer.ensureDeferred(self._members.run())
-        defer.ensureDeferred(self._group.run())
+        self._looking = defer.ensureDeferred(self._group.run())
         self._keeper.start()
         LOG.info("Serving.", name=own.name, peer=own.peer)
 
@@ -97,6 +98,9 @@
         """Give the lease up, so that another agent goes on."""
         self._group.stop()
         self._members.stop()
+        # A change in progress is brought to its end first.
+        if self._looking is not None:
+            await self._looking
         await self._keeper.stop()
         await self._listener.stop_listening()
         LOG.info("Stopped.")
