--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -93,7 +93,11 @@
         self, member: Member, order: rank.Order, *, fence: int, epoch: int
     ) -> tuple[rank.Outcome, rank.Rank | None]:
         """Give a rank an order; return its outcome and the rank after it."""
-        if self._is_silent(member):
+        # A hold and its end go straight to the rank: if its agent gave them,
+        # an agent that then falls silent with its machine would leave the
+        # group held by a rank that nobody reaches.
+        straight = isinstance(order, rank.Hold | rank.Go)
+        if straight or self._is_silent(member):
             return await self._order_directly(
                 member, order, fence=fence, epoch=epoch
             )
@@ -114,7 +118,7 @@
     async def _order_directly(
         self, member: Member, order: rank.Order, *, fence: int, epoch: int
     ) -> tuple[rank.Outcome, rank.Rank | None]:
-        """Give an order to a rank whose agent is silent."""
+        """Give an order to a rank itself."""
         port = self._port_to(member.upstream)
         outcome = await port.order(order, fence=fence, epoch=epoch)
         LOG.info(
