--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -14,7 +14,7 @@
 from reelscale_core import clock, error, rank
 from reelscale_wire import link
 from reelscale_wire.gen import ttypes
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from .. import logs, rank_wire
 from ..adapters import base
@@ -27,9 +27,10 @@
 TIMEOUT_S = 0.25
 # A silent agent is asked again this often, in seconds.
 AGAIN_S = 0.5
-# Seconds between two questions to its rank itself, each of which has a price;
-# a change that is to be finished needs a few in a row.
-DIRECT_EVERY_S = 0.05
+# What a rank reports to another machine is some hundred milliseconds old
+# (0.2 s where it was measured).  So it is asked this long, in seconds, after
+# the question came up, and its answer is true of some time in between.
+REPORT_LAG_S = 0.3
 
 
 class Member(NamedTuple):
@@ -68,7 +69,6 @@
         self._links = links
         self._port_to = port_to
         self._silent_since: dict[str, float] = {}
-        self._asked_at: dict[str, float] = {}
         self._tried_at: dict[str, float] = {}
 
     async def tell(
@@ -127,9 +127,19 @@
             order=type(order).__name__.lower(),
             outcome=outcome.name.lower(),
         )
-        self._asked_at.pop(member.agent, None)
-        told = await self._tell_directly(member)
-        return outcome, told.rank if told else None
+        return outcome, await self._told_by_agent(member)
+
+    async def _told_by_agent(self, member: Member) -> rank.Rank | None:
+        """Return a rank's state now; None if its agent is silent."""
+        if self._is_silent(member):
+            return None
+        query = ttypes.RankQuery(counts=False, experts=False)
+        try:
+            answer = await self._call(member, "rank", query)
+            return rank_wire.from_told(answer).rank
+        except (link.LinkError, ValueError):
+            # Whoever sent the order asks all ranks again.
+            return None
 
     async def _call(
         self, member: Member, method: str, message: object
@@ -169,12 +179,8 @@
         asked.addErrback(lambda failed: failed.trap(link.LinkError))
 
     async def _tell_directly(self, member: Member) -> rank_wire.Told | None:
-        """Ask a rank itself, unless it was asked just now."""
-        now = self._clock.monotonic()
-        last = self._asked_at.get(member.agent, float("-inf"))
-        if now - last < DIRECT_EVERY_S:
-            return None
-        self._asked_at[member.agent] = now
+        """Ask a rank itself, so that its answer is no older than the call."""
+        await task.deferLater(self._reactor, REPORT_LAG_S)
         try:
             found = await self._port_to(member.upstream).report()
         except error.CodedError:
