--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -83,6 +83,7 @@
         self._fence: int | None = None
         self._finish_only = False
         self._busy = False
+        self._waiting: defer.Deferred | None = None
         self._limits: base.EngineLimits | None = None
         self._demand = demand.Demand()
         self._layouts: dict[str, Layout] = {}
@@ -102,7 +103,17 @@
                 except error.CodedError as lost:
                     LOG.warning("The group is left alone.", reason=lost.detail)
                 pause_s = self._pause_s()
-            await task.deferLater(self._reactor, pause_s)
+            await self._pause(pause_s)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait for a while, or until the group is taken."""
+        self._waiting = task.deferLater(self._reactor, pause_s)
+        try:
+            await self._waiting
+        except defer.CancelledError:
+            # The group was taken, so there is something to do now.
+            pass
+        self._waiting = None
 
     async def learn_limits(self) -> None:
         """Ask what the engine allows, once; CodedError "log-down"."""
@@ -129,6 +140,8 @@
         self._fence = fence
         self._finish_only = finish_only
         self._wanted = None
+        if self._waiting is not None:
+            self._waiting.cancel()
 
     def release(self) -> None:
         """Leave the group to another, but for a change to be finished."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
@@ -33,9 +33,9 @@
 # A rank that stands still in a change for so long, in seconds, waits for a
 # holder that has gone: a step takes 0.1 s, a whole change some 0.05 s more.
 STUCK_S = 0.5
-# Each further candidate waits so much longer, in seconds, so that as a rule
-# one finishes the change alone.
-STUCK_EACH_S = 0.15
+# Each further candidate waits so much longer, in seconds: by then the one
+# before has finished the change, in some 0.5 s where a machine is silent.
+STUCK_EACH_S = 0.7
 
 
 class LeaseKeeper:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -180,9 +180,12 @@
 
     async def _tell_directly(self, member: Member) -> rank_wire.Told | None:
         """Ask a rank itself, so that its answer is no older than the call."""
-        await task.deferLater(self._reactor, REPORT_LAG_S)
+        port = self._port_to(member.upstream)
         try:
-            found = await self._port_to(member.upstream).report()
+            # One that is gone does not answer now either.
+            await port.report()
+            await task.deferLater(self._reactor, REPORT_LAG_S)
+            found = await port.report()
         except error.CodedError:
             return None
         return rank_wire.Told(found)
