--- a/features/models/relayout.py
+++ b/features/models/relayout.py
@@ -1,9 +1,8 @@
 """Ranks that change layouts by themselves, holders, and late orders.
 
-A rank here obeys as an engine's pages say: a version is prepared once, an
-armed layout is taken as its step begins, a held step waits.  An order may be
-lost, lose its answer, or be carried out long after it was given; a holder
-may be overtaken and go on; a rank may restart, and the group forms anew.
+An order may be lost, lose its answer, or be carried out long after it was
+given; a holder may be overtaken and go on, or fall silent together with its
+rank; a rank may restart, and the group forms anew.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -11,48 +10,24 @@
 
 import dataclasses
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from reelscale_core import rank as ranks
 from reelscale_core import relayout
 
+from . import relayout_rules
 from .chooser import Chooser
+from .relayout_engine import Engine, Sent
 
+# Versions of one holder lie so many apart from those of the next.
 VERSIONS_A_FENCE = 1000
+# Versions of one holder from which on it wants no further layout.
 MOST_WANTED = 4
 # Once faults cease, a step takes as long as so many events of a holder.
 TURNS_A_STEP = 12
+# Turns within which one holder brings a group without faults to its end.
+TURNS_TO_SETTLE = 400
 OUTCOMES = ranks.Outcome
-
-
-class MixedLayoutsError(AssertionError):
-    """A step began on two layouts."""
-
-
-class Sent(NamedTuple):
-    """An order on its way."""
-
-    name: str
-    order: ranks.Order
-    fence: int
-    epoch: int
-
-
-@dataclasses.dataclass(kw_only=True)
-class EngineRank:
-    """What a rank of the engine holds.
-
-    Attributes:
-      fence: Highest that it has seen; forgotten at its restart.
-      highest: Highest version that it was asked to prepare.
-    """
-
-    version: int = 0
-    prepared: int | None = None
-    armed: ranks.Armed | None = None
-    held: int | None = None
-    fence: int = 0
-    highest: int = 0
+RULES = relayout_rules.RULES
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -87,104 +62,14 @@
     versions: int = 0
 
 
-class Rules:
-    """The rules under test."""
-
-    fences = True
-
-    def plan(
-        self,
-        view: Mapping[str, ranks.Rank],
-        wanted: relayout.Wanted | None,
-        holder: str,
-    ) -> dict[str, ranks.Order]:
-        """Return a holder's next orders."""
-        return relayout.plan(view, wanted=wanted, holder=holder)
-
-    def plan_without(
-        self, view: Mapping[str, ranks.Rank], missing: int
-    ) -> dict[str, ranks.Order]:
-        """Return a holder's next orders while a rank cannot be asked."""
-        return relayout.plan_without(view, missing)
-
-
-class Guess(Rules):
-    """The change is given up whichever rank is missing."""
-
-    def plan_without(
-        self, view: Mapping[str, ranks.Rank], missing: int
-    ) -> dict[str, ranks.Order]:
-        """Return orders as if no silent rank could be armed."""
-        armed = {
-            name: ranks.Disarm(item.armed.version)
-            for name, item in view.items()
-            if item.armed
-        }
-        held = {n: r.held for n, r in view.items() if r.held is not None}
-        return armed or {name: ranks.Go(step) for name, step in held.items()}
-
-
-class NoHold(Rules):
-    """Ranks are armed for a step that nobody holds."""
-
-    def plan(
-        self,
-        view: Mapping[str, ranks.Rank],
-        wanted: relayout.Wanted | None,
-        holder: str,
-    ) -> dict[str, ranks.Order]:
-        """Return orders as if the hold had been taken."""
-        orders = super().plan(view, wanted, holder)
-        for name, order in orders.items():
-            if isinstance(order, ranks.Hold):
-                held = view[name]._replace(held=order.step)
-                return super().plan({**view, name: held}, wanted, holder)
-        return orders
-
-
-class NoFence(Rules):
-    """A new holder goes on at once with what it finds."""
-
-    fences = False
-
-
-class GoEarly(Rules):
-    """The group goes on once some rank is armed."""
-
-    def plan(
-        self,
-        view: Mapping[str, ranks.Rank],
-        wanted: relayout.Wanted | None,
-        holder: str,
-    ) -> dict[str, ranks.Order]:
-        """Return a go in place of further arming."""
-        orders = super().plan(view, wanted, holder)
-        some = any(item.armed for item in view.values())
-        arms = any(isinstance(o, ranks.Arm) for o in orders.values())
-        if not (some and arms):
-            return orders
-        held = {n: r.held for n, r in view.items() if r.held is not None}
-        return {name: ranks.Go(step) for name, step in held.items()}
-
-
-RULES = {
-    "as built": Rules,
-    "without holding": NoHold,
-    "without refusing earlier holders": NoFence,
-    "without arming every rank": GoEarly,
-    "without knowing the silent rank": Guess,
-}
-
-
 class World:
     """The group, its holders and the orders on their way."""
 
-    def __init__(self, *, ranks: int, given: Rules) -> None:
+    def __init__(self, *, ranks: int, given: relayout_rules.Rules) -> None:
         self.rules = given
-        self.names = [f"r{number}" for number in range(ranks)]
-        self.ranks = {name: EngineRank() for name in self.names}
-        self.epoch = 1
-        self.step = 0
+        self.engine = Engine(size=ranks)
+        self.names = self.engine.names
+        self.ranks = self.engine.ranks
         self.late: list[Sent] = []
         self.holders: list[Holder] = []
         self.frozen: str | None = None
@@ -206,89 +91,18 @@
 
     def begin_step(self, _: Chooser) -> None:
         """Begin the group's next step, unless a rank holds it."""
-        step = self.step + 1
-        if any(item.held == step for item in self.ranks.values()):
-            return
-        self.step = step
-        for item in self.ranks.values():
-            if item.armed is not None and item.armed.step == step:
-                item.version = item.armed.version
-                item.armed = item.prepared = None
-        versions = {item.version for item in self.ranks.values()}
-        if len(versions) > 1:
-            raise MixedLayoutsError(f"step {step} began on {versions}")
+        self.engine.begin_step()
 
     def restart_rank(self, chooser: Chooser) -> None:
         """Restart a rank; the group forms anew."""
-        name = chooser.pick(self.names)
-        self.epoch += 1
-        self.step = 0
-        for item in self.ranks.values():
-            item.version = 0
-            item.prepared = item.armed = item.held = None
-        self.ranks[name] = EngineRank()
-
-    def obey(self, sent: Sent) -> ranks.Outcome:
-        """Carry an order out at a rank."""
-        item = self.ranks[sent.name]
-        if sent.epoch != self.epoch:
-            return OUTCOMES.REFUSED
-        if sent.fence < item.fence:
-            return OUTCOMES.FENCED
-        item.fence = sent.fence
-        taken = self._taken(item, sent.order)
-        return OUTCOMES.TAKEN if taken else OUTCOMES.REFUSED
-
-    def _taken(self, item: EngineRank, order: ranks.Order) -> bool:
-        match order:
-            case ranks.Fence(version=version) | ranks.Disarm(version=version):
-                if item.armed and item.armed.version == version:
-                    item.armed = None
-                return version != item.version
-            case ranks.Prepare(version=version):
-                if version <= item.highest or item.armed:
-                    return False
-                item.highest = item.prepared = version
-                return True
-            case ranks.Arm(version=version, step=step):
-                armed = ranks.Armed(version, step)
-                fit = item.prepared == version and step > self.step
-                if not fit or item.armed not in (None, armed):
-                    return False
-                item.armed = armed
-                return True
-            case ranks.Hold(step=step):
-                if step <= self.step or item.held not in (None, step):
-                    return False
-                item.held = step
-                return True
-            case ranks.Go(step=step):
-                if item.held == step:
-                    item.held = None
-                return True
-
-    def report(self, name: str) -> ranks.Rank:
-        """Return what a rank reports now."""
-        item = self.ranks[name]
-        return ranks.Rank(
-            group="g",
-            epoch=self.epoch,
-            number=self.names.index(name),
-            size=len(self.names),
-            open=True,
-            step=self.step,
-            version=item.version,
-            prepared=item.prepared,
-            armed=item.armed,
-            held=item.held,
-        )
+        self.engine.restart(chooser.pick(self.names))
 
     def carry_out_late(self, chooser: Chooser) -> None:
         """Carry an order out whose answer its sender no longer awaits."""
         if self.late:
             sent = chooser.pick(self.late)
             self.late.remove(sent)
-            self.obey(sent)
+            self.engine.obey(sent)
 
     def freeze(self, chooser: Chooser) -> None:
         """Freeze a machine, the rank on it included, or wake it.
@@ -328,7 +142,7 @@
         name = chooser.pick(missing)
         holder.asked.append(name)
         if name != self.frozen:
-            holder.asking[name] = self.report(name)
+            holder.asking[name] = self.engine.report(name)
         if len(missing) > 1:
             return
         heard, holder.asking, holder.asked = holder.asking, {}, []
@@ -408,9 +222,9 @@
         if sent.name == self.frozen:
             fate = "lost"
         if fate == "answered":
-            outcome = self.obey(sent)
+            outcome = self.engine.obey(sent)
         elif fate == "no answer":
-            self.obey(sent)
+            self.engine.obey(sent)
         elif fate == "late":
             self.late.append(sent)
         if outcome == OUTCOMES.FENCED:
@@ -421,7 +235,7 @@
             # One that does not take it may know an earlier holder's orders.
             holder.unsure |= outcome != OUTCOMES.TAKEN
         elif outcome != OUTCOMES.UNKNOWN:
-            holder.view[sent.name] = self.report(sent.name)
+            holder.view[sent.name] = self.engine.report(sent.name)
         if isinstance(sent.order, ranks.Prepare):
             if outcome == OUTCOMES.REFUSED:
                 holder.wanted = None
@@ -449,10 +263,10 @@
         self.frozen = None
         self.add_holder(none)
         self.holders = self.holders[-1:]
-        for turn in range(400):
+        for turn in range(TURNS_TO_SETTLE):
             self.work(none)
             if turn % TURNS_A_STEP == 0:
-                self.begin_step(none)
+                self.engine.begin_step()
         versions = {item.version for item in self.ranks.values()}
         held = any(item.held is not None for item in self.ranks.values())
         return versions != {0} and len(versions) == 1 and not held
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -18,7 +18,7 @@
     exchange,
     lockstep,
     oncekeys,
-    relayout,
+    relayout_engine,
 )
 
 TRACES = pathlib.Path(__file__).parent.parent / "traces"
@@ -27,7 +27,7 @@
     exchange.ToldWrongError,
     lockstep.MixedStepError,
     oncekeys.DoubleRunError,
-    relayout.MixedLayoutsError,
+    relayout_engine.MixedLayoutsError,
 )
 RANKED = ("lockstep", "relayout")
 EVENTS = 400
