--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -1,22 +1,22 @@
 """Keeps the experts of a group where its requests want them.
 
-The agents of some ranks ask for the group's lease; the holder asks all
-agents for their ranks' state and counters, chooses a layout when a better
-one is worth what it costs, and brings every rank onto it.
+The agents of some ranks ask for the group's lease.  While the group is busy
+the holder looks at all ranks again and again; once a better layout is worth
+what it costs, it brings every rank onto it.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
-from reelscale_core import clock, demand, error, rank, relayout, replicas
-from twisted.internet import defer, task
+from reelscale_core import error, rank, relayout
+from twisted.internet import task
 
-from .. import logs, rank_wire
+from .. import logs
 from ..adapters import base
-from . import members, reach
+from . import members, reach, told_ranks
 
 LOG = logs.Part("group")
 # Seconds between two looks at all ranks; what requests want shifts within
@@ -26,18 +26,9 @@
 IDLE_TICK_S = 0.4
 # Seconds between two looks while ranks load weights: 40 ms an expert.
 LOADING_TICK_S = 0.05
-# The demand of half a second ago counts half: by then some 20 new prompts
-# have been read, enough to tell what is wanted now.
-HALF_LIFE_S = 0.5
 # Below this part of its slots a group keeps up with any layout: answers were
 # in time on quiet days with the most loaded rank at 3.3 times the mean.
 BUSY = 0.5
-# A change that shortens the slowest ranks' part by less is not made; trials
-# with 0.06, 0.12 and 0.2 served as many, the last with the fewest loads.
-LEAST_IMPROVEMENT = 0.2
-# A replica is loaded if it takes this part of the mean load from the most
-# loaded rank; trials with 0.03, 0.06 and 0.1 served as many.
-LEAST_GAIN = 0.1
 # Versions of one holder lie so many apart from those of the next.
 VERSIONS_A_FENCE = 1000
 # Rounds that give a change up: its ranks are disarmed, the group goes on, and
@@ -47,20 +38,6 @@
 MOST_ROUNDS = 60
 
 
-class Layout(NamedTuple):
-    """What one rank holds.
-
-    Attributes:
-      epoch: In which that is so.
-      version: The layout.
-      experts: Experts by set of layers.
-    """
-
-    epoch: int
-    version: int
-    experts: tuple[tuple[int, ...], ...]
-
-
 class Group:
     """The holder's work, while this agent holds the lease."""
 
@@ -68,15 +45,25 @@
         self,
         *,
         reactor: Any,
-        clock: clock.Clock,
         reach: reach.Reach,
+        ranks: told_ranks.ToldRanks,
         engines: base.Engines,
         members: members.Members,
         target: str,
     ) -> None:
+        """Make it; run() does the work.
+
+        Args:
+          reactor: The loop.
+          reach: Takes orders to ranks.
+          ranks: What is known of all ranks.
+          engines: What the operators say of engines.
+          members: The ranks that are listed, and their agents.
+          target: The group.
+        """
         self._reactor = reactor
-        self._clock = clock
         self._reach = reach
+        self._ranks = ranks
         self._engines = engines
         self._members = members
         self._target = target
@@ -84,8 +71,6 @@
         self._finish_only = False
         self._busy = False
         self._limits: base.EngineLimits | None = None
-        self._demand = demand.Demand()
-        self._layouts: dict[str, Layout] = {}
         self._wanted: relayout.Wanted | None = None
         self._fenced: tuple[int, int] | None = None
         self._refused_fence = -1
@@ -142,7 +127,7 @@
 
     async def _look(self) -> None:
         """Look at all ranks once and do what there is to do."""
-        by_name = await self._ask_all()
+        by_name = await self._ranks.ask_all()
         if not relayout.whole(by_name):
             self._wanted = None
             await self._go_on_without(by_name)
@@ -151,7 +136,7 @@
         if self._fenced != (self._fence, epoch):
             if not await self._refuse_earlier(by_name, epoch):
                 return
-            by_name = await self._ask_all()
+            by_name = await self._ranks.ask_all()
             if not relayout.whole(by_name):
                 return
         if self._wanted is None and _at_rest(by_name):
@@ -161,7 +146,7 @@
                 return
             await self.learn_limits()
             self._busy = self._is_busy(by_name)
-            self._wanted = self._choose(by_name) if self._busy else None
+            self._wanted = self._want(by_name) if self._busy else None
         await self._drive(by_name, epoch)
 
     async def _go_on_without(self, by_name: dict[str, rank.Rank]) -> None:
@@ -176,7 +161,7 @@
         # The missing rank does not know this fence yet.
         self._fenced = None
         for _ in range(ROUNDS_WITHOUT):
-            by_name = await self._ask_all()
+            by_name = await self._ranks.ask_all()
             missing = relayout.missing_number(by_name)
             if missing is None:
                 return
@@ -219,19 +204,19 @@
                 return
             by_name = {**by_name, **told}
             if len(told) < len(orders) or not relayout.whole(by_name):
-                by_name = await self._ask_all()
+                by_name = await self._ranks.ask_all()
                 if not relayout.whole(by_name):
                     return
-            if self._is_loading(orders, outcomes):
+            if self._note_prepares(orders, outcomes):
                 return
         self._note_done(by_name)
 
-    def _is_loading(
+    def _note_prepares(
         self,
         orders: Mapping[str, rank.Order],
         outcomes: Mapping[str, rank.Outcome],
     ) -> bool:
-        """Tell whether ranks load; give a layout up that one refuses."""
+        """Give a layout up that a rank refuses; tell whether ranks load."""
         prepares = [
             n for n, o in orders.items() if isinstance(o, rank.Prepare)
         ]
@@ -258,54 +243,29 @@
             return
         self._wanted = None
         LOG.info("A layout is in use at all ranks.", version=wanted.version)
-        for name, item in by_name.items():
-            experts = tuple(row[item.number] for row in wanted.table)
-            self._layouts[name] = Layout(item.epoch, item.version, experts)
+        self._ranks.note_in_use(by_name, wanted)
 
     def _is_busy(self, by_name: Mapping[str, rank.Rank]) -> bool:
         """Tell whether the group has so much to do that its layout counts."""
         running = sum(item.requests for item in by_name.values())
         return running >= BUSY * self._members.slots
 
-    def _choose(
+    def _want(
         self, by_name: Mapping[str, rank.Rank]
     ) -> relayout.Wanted | None:
         """Return a layout that is worth changing to, if there is one."""
-        limits = self._limits
-        if limits is None or not self._layouts_known(by_name):
-            return None
-        names = sorted(by_name, key=lambda name: by_name[name].number)
-        bounds = replicas.Bounds(limits.places, limits.spare)
-        sets = demand.by_set(self._demand, limits.experts)
-        solved = []
-        for number, wanted in enumerate(sets):
-            held = [self._layouts[name].experts[number] for name in names]
-            solved.append(
-                replicas.solve(held, wanted, bounds, least_gain=LEAST_GAIN)
-            )
-        before = sum(item.before for item in solved)
-        after = sum(item.after for item in solved)
-        if not solved or after > before * (1 - LEAST_IMPROVEMENT):
+        better = self._ranks.choose(by_name, self._limits)
+        if better is None:
             return None
         version = self._next_version(by_name)
         LOG.info(
             "A layout is wanted.",
             version=version,
-            skew_before=round(before / len(solved), 3),
-            skew_after=round(after / len(solved), 3),
-            loaded=sum(item.loaded for item in solved),
+            skew_before=round(better.skew_before, 3),
+            skew_after=round(better.skew_after, 3),
+            loaded=better.loaded,
         )
-        return relayout.Wanted(version, tuple(item.held for item in solved))
-
-    def _layouts_known(self, by_name: Mapping[str, rank.Rank]) -> bool:
-        """Tell whether it is known what each rank holds now."""
-        return all(self._known(name, item) for name, item in by_name.items())
-
-    def _known(self, name: str, item: rank.Rank | None) -> bool:
-        layout = self._layouts.get(name)
-        if item is None or layout is None:
-            return False
-        return (layout.epoch, layout.version) == (item.epoch, item.version)
+        return relayout.Wanted(version, better.table)
 
     def _next_version(self, by_name: Mapping[str, rank.Rank]) -> int:
         """Return a version that no rank has seen."""
@@ -315,41 +275,6 @@
         self._newest_version = max(*seen, own, self._newest_version) + 1
         return self._newest_version
 
-    async def _ask_all(self) -> dict[str, rank.Rank]:
-        """Ask all agents for their ranks; those that answer are returned."""
-        asked = [
-            self._ask(name, member)
-            for name, member in self._members.by_name.items()
-        ]
-        told = await _gather(asked)
-        by_name = {name: item.rank for name, item in told if item is not None}
-        counted = {
-            name: item.counted
-            for name, item in told
-            if item is not None and item.counted is not None
-        }
-        for name, item in told:
-            if item is not None and item.experts is not None:
-                epoch, version = item.rank.epoch, item.rank.version
-                self._layouts[name] = Layout(epoch, version, item.experts)
-        self._demand = demand.observed(
-            self._demand,
-            counted,
-            now=self._clock.monotonic(),
-            half_life_s=HALF_LIFE_S,
-        )
-        return by_name
-
-    async def _ask(
-        self, name: str, member: reach.Member
-    ) -> tuple[str, rank_wire.Told | None]:
-        known = self._layouts.get(name)
-        told = await self._reach.tell(member, experts=known is None)
-        if told and known and not self._known(name, told.rank):
-            # What it holds is asked for the next time.
-            del self._layouts[name]
-        return name, told
-
     async def _send(
         self, orders: Mapping[str, rank.Order], epoch: int
     ) -> tuple[dict[str, rank.Outcome], dict[str, rank.Rank]]:
@@ -357,7 +282,7 @@
         sent = [
             self._order(name, order, epoch) for name, order in orders.items()
         ]
-        rows = await _gather(sent)
+        rows = await told_ranks.gather(sent)
         outcomes = {name: outcome for name, outcome, _ in rows}
         told = {name: item for name, _, item in rows if item is not None}
         if rank.Outcome.FENCED in outcomes.values():
@@ -382,10 +307,3 @@
         item.armed or item.held is not None or item.copying
         for item in by_name.values()
     )
-
-
-async def _gather(asked: list[Any]) -> list[Any]:
-    """Wait for all of some coroutines that do not raise."""
-    return await defer.gatherResults(
-        [defer.ensureDeferred(item) for item in asked], consumeErrors=True
-    )
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/told_ranks.py
@@ -0,0 +1,168 @@
+"""What all ranks of a group tell, and the layout that would suit them better.
+
+Their state is asked for at each look.  What a rank holds changes only with
+its layout, so that is kept until its version or its epoch is another.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from collections.abc import Coroutine, Mapping
+from typing import Any, NamedTuple
+
+from reelscale_core import clock, demand, rank, relayout, replicas
+from twisted.internet import defer
+
+from .. import rank_wire
+from ..adapters import base
+from . import members, reach
+
+# The demand of half a second ago counts half: by then some 20 new prompts
+# have been read, enough to tell what is wanted now.
+HALF_LIFE_S = 0.5
+# A change that shortens the slowest ranks' part by less is not made; trials
+# with 0.06, 0.12 and 0.2 served as many, the last with the fewest loads.
+LEAST_IMPROVEMENT = 0.2
+# A replica is loaded if it takes this part of the mean load from the most
+# loaded rank; trials with 0.03, 0.06 and 0.1 served as many.
+LEAST_GAIN = 0.1
+
+
+class Held(NamedTuple):
+    """What one rank holds.
+
+    Attributes:
+      epoch: In which that is so.
+      version: The layout.
+      experts: Experts by set of layers.
+    """
+
+    epoch: int
+    version: int
+    experts: tuple[tuple[int, ...], ...]
+
+
+class Better(NamedTuple):
+    """A layout that is worth changing to.
+
+    Attributes:
+      table: The experts that each rank holds in it.
+      skew_before: Largest over mean load of a rank in the layout in use,
+        on average over the sets of layers.
+      skew_after: The same in this one.
+      loaded: Experts that ranks have to load.
+    """
+
+    table: rank.Table
+    skew_before: float
+    skew_after: float
+    loaded: int
+
+
+class ToldRanks:
+    """Asks all ranks, and keeps what they hold and what requests want."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        reach: reach.Reach,
+        members: members.Members,
+    ) -> None:
+        self._clock = clock
+        self._reach = reach
+        self._members = members
+        self._demand = demand.Demand()
+        self._held_by_name: dict[str, Held] = {}
+
+    async def ask_all(self) -> dict[str, rank.Rank]:
+        """Ask all agents for their ranks; those that answer are returned."""
+        asked = [
+            self._ask(name, member)
+            for name, member in self._members.by_name.items()
+        ]
+        answers = await gather(asked)
+        told = {name: item for name, item in answers if item is not None}
+        for name, item in told.items():
+            if item.experts is not None:
+                epoch, version = item.rank.epoch, item.rank.version
+                self._held_by_name[name] = Held(epoch, version, item.experts)
+        counted = {
+            name: item.counted
+            for name, item in told.items()
+            if item.counted is not None
+        }
+        self._demand = demand.observed(
+            self._demand,
+            counted,
+            now=self._clock.monotonic(),
+            half_life_s=HALF_LIFE_S,
+        )
+        return {name: item.rank for name, item in told.items()}
+
+    async def _ask(
+        self, name: str, member: reach.Member
+    ) -> tuple[str, rank_wire.Told | None]:
+        held = self._held_by_name.get(name)
+        told = await self._reach.tell(member, experts=held is None)
+        if told and held and not self._is_held(name, told.rank):
+            # What it holds is asked for the next time.
+            del self._held_by_name[name]
+        return name, told
+
+    def note_in_use(
+        self, by_name: Mapping[str, rank.Rank], wanted: relayout.Wanted
+    ) -> None:
+        """Note what ranks hold once all of them use a layout."""
+        for name, item in by_name.items():
+            experts = tuple(row[item.number] for row in wanted.table)
+            self._held_by_name[name] = Held(item.epoch, item.version, experts)
+
+    def choose(
+        self,
+        by_name: Mapping[str, rank.Rank],
+        limits: base.EngineLimits | None,
+    ) -> Better | None:
+        """Return a layout that is worth changing to, if there is one.
+
+        Args:
+          by_name: All ranks of the group.
+          limits: What its engine allows; None if that is not known.
+        """
+        known = all(self._is_held(name, r) for name, r in by_name.items())
+        if limits is None or not known:
+            return None
+        names = sorted(by_name, key=lambda name: by_name[name].number)
+        bounds = replicas.Bounds(limits.places, limits.spare)
+        sets = demand.by_set(self._demand, limits.experts)
+        solved = []
+        for number, wanted in enumerate(sets):
+            held = [self._held_by_name[name].experts[number] for name in names]
+            solved.append(
+                replicas.solve(held, wanted, bounds, least_gain=LEAST_GAIN)
+            )
+        before = sum(item.before for item in solved)
+        after = sum(item.after for item in solved)
+        if not solved or after > before * (1 - LEAST_IMPROVEMENT):
+            return None
+        return Better(
+            table=tuple(item.held for item in solved),
+            skew_before=before / len(solved),
+            skew_after=after / len(solved),
+            loaded=sum(item.loaded for item in solved),
+        )
+
+    def _is_held(self, name: str, item: rank.Rank) -> bool:
+        """Tell whether it is known what a rank holds now."""
+        held = self._held_by_name.get(name)
+        return held is not None and (held.epoch, held.version) == (
+            item.epoch,
+            item.version,
+        )
+
+
+async def gather(asked: list[Coroutine[Any, Any, Any]]) -> list[Any]:
+    """Wait for all of some coroutines that do not raise."""
+    return await defer.gatherResults(
+        [defer.ensureDeferred(item) for item in asked], consumeErrors=True
+    )
--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
@@ -19,7 +19,14 @@
 
 from . import health, logs, metrics, process
 from .adapters import base
-from .controllers import group, lease_keeper, members, own_rank, reach
+from .controllers import (
+    group,
+    lease_keeper,
+    members,
+    own_rank,
+    reach,
+    told_ranks,
+)
 from .exchange import pool
 
 LOG = logs.Part("agent")
@@ -35,7 +42,6 @@
         self._clock = clock.SystemClock()
         self._metrics = metrics.Metrics()
         self._listener = process.Listener(reactor=reactor)
-        links = link.Links(reactor=reactor)
         self._adapter = self._make_adapter()
         own = reach.Member(settings.peer, _address(settings.engine))
         port_to = self._adapter.port_to
@@ -46,20 +52,14 @@
             target=settings.target,
             own=own,
         )
-        self._group = group.Group(
-            reactor=reactor,
-            clock=self._clock,
-            reach=reach.Reach(
+        self._group = self._make_group(
+            reach.Reach(
                 reactor=reactor,
                 clock=self._clock,
-                links=links,
+                links=link.Links(reactor=reactor),
                 port_to=port_to,
-            ),
-            engines=self._adapter.engines,
-            members=self._members,
-            target=settings.target,
+            )
         )
-
         self._looking: defer.Deferred | None = None
         self._keeper = lease_keeper.LeaseKeeper(
             reactor=reactor,
@@ -71,6 +71,7 @@
         )
 
     def _make_adapter(self) -> base.AgentAdapter:
+        """Make what the settings name as the platform's adapter."""
         module = importlib.import_module(self.settings.adapter)
         make: base.AgentMaker = module.make_agent
         return make(
@@ -80,6 +81,19 @@
             connections=pool.Pool(reactor=self._reactor, clock=self._clock),
         )
 
+    def _make_group(self, way: reach.Reach) -> group.Group:
+        """Make what looks after the group while the lease is held."""
+        return group.Group(
+            reactor=self._reactor,
+            reach=way,
+            ranks=told_ranks.ToldRanks(
+                clock=self._clock, reach=way, members=self._members
+            ),
+            engines=self._adapter.engines,
+            members=self._members,
+            target=self.settings.target,
+        )
+
     async def start(self) -> None:
         """Serve other agents and ask for the lease now and then."""
         own = self.settings
@@ -95,10 +109,9 @@
         LOG.info("Serving.", name=own.name, peer=own.peer)
 
     async def stop(self) -> None:
-        """Give the lease up, so that another agent goes on."""
+        """End a change in progress, then give the lease up to another."""
         self._group.stop()
         self._members.stop()
-        # A change in progress is brought to its end first.
         if self._looking is not None:
             await self._looking
         await self._keeper.stop()
@@ -106,7 +119,7 @@
         LOG.info("Stopped.")
 
     def _take_settings(self, new: settings.Settings) -> None:
-        """Note new settings; all of an agent's count from its start."""
+        """Keep new settings for the next reading; none changes this start."""
         self.settings = new
 
     # What peers may call, by the names of the Peer service.
