--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from reelscale_core import error, rank, relayout
-from twisted.internet import task
+from twisted.internet import defer, task
 
 from .. import logs
 from ..adapters import base
