--- a/packages/reelscale-core/src/reelscale_core/rank.py
+++ b/packages/reelscale-core/src/reelscale_core/rank.py
@@ -1,4 +1,4 @@
-"""A rank of a group that its engine steps, as its agent reports it.
+"""A rank of a group that its engine steps, as it reports itself.
 
 Such an engine takes orders about expert layouts by itself: it prepares a
 layout, arms it for a step, and holds the group before a step until told to
--- a/packages/reelscale-core/src/reelscale_core/relayout.py
+++ b/packages/reelscale-core/src/reelscale_core/relayout.py
@@ -20,7 +20,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from . import rank as ranks
@@ -46,28 +46,28 @@
 def whole(by_name: Mapping[str, ranks.Rank]) -> bool:
     """Tell whether these are all ranks of one open group, in one epoch."""
     found = list(by_name.values())
-    if not found:
-        return False
-    first = found[0]
     numbers = {item.number for item in found}
-    return len(numbers) == len(found) == first.size and all(
-        item.open and (item.group, item.epoch) == (first.group, first.epoch)
-        for item in found
+    return _of_one_group(found) and (
+        len(numbers) == len(found) == found[0].size
     )
 
 
 def missing_number(by_name: Mapping[str, ranks.Rank]) -> int | None:
     """Return the number of the one rank that is not among these, if one is."""
     found = list(by_name.values())
-    if not found or len(found) != found[0].size - 1:
+    if not _of_one_group(found) or len(found) != found[0].size - 1:
         return None
     left = set(range(found[0].size)) - {item.number for item in found}
-    first = found[0]
-    same = all(
-        item.open and (item.group, item.epoch) == (first.group, first.epoch)
+    return left.pop() if len(left) == 1 else None
+
+
+def _of_one_group(found: Sequence[ranks.Rank]) -> bool:
+    """Tell whether these are ranks of one open group, in one epoch."""
+    return bool(found) and all(
+        item.open
+        and (item.group, item.epoch) == (found[0].group, found[0].epoch)
         for item in found
     )
-    return left.pop() if same and len(left) == 1 else None
 
 
 def plan(
@@ -138,14 +138,16 @@
     if missing:
         order = ranks.Prepare(wanted.version, wanted.table)
         return {n: order for n, item in missing.items() if not item.copying}
-    return {_next(by_name, holder): ranks.Hold(step_to_change_at(by_name))}
+    return {
+        _that_holds(by_name, holder): ranks.Hold(step_to_change_at(by_name))
+    }
 
 
-def _next(by_name: Mapping[str, ranks.Rank], holder: str) -> str:
+def _that_holds(by_name: Mapping[str, ranks.Rank], holder: str) -> str:
     """Return the rank that holds the group for a holder."""
     own = by_name[holder]
-    wanted = (own.number + 1) % own.size
-    (name,) = [n for n, r in by_name.items() if r.number == wanted]
+    number = (own.number + 1) % own.size
+    (name,) = [n for n, r in by_name.items() if r.number == number]
     return name
 
 
@@ -188,7 +190,7 @@
         return _abandon(by_name, held)
     if open_to_it and change.step not in held.values():
         # Somebody armed a rank without a hold; nothing may begin that step.
-        return {_next(by_name, holder): ranks.Hold(change.step)}
+        return {_that_holds(by_name, holder): ranks.Hold(change.step)}
     if open_to_it:
         order = ranks.Arm(change.version, change.step)
         return dict.fromkeys(_those_first(by_name, open_to_it, held), order)
--- a/packages/reelscale-core/src/reelscale_core/replicas.py
+++ b/packages/reelscale-core/src/reelscale_core/replicas.py
@@ -17,6 +17,8 @@
 # at for each replica; beyond the first few nothing better was found.
 EXPERTS_TRIED = 4
 RANKS_TRIED = 4
+# Stands for an expert where a rank has a place left and gives none up.
+NO_EXPERT = -1
 
 
 class Bounds(NamedTuple):
@@ -52,6 +54,7 @@
 
     def __init__(
         self,
+        *,
         held: Sequence[Sequence[int]],
         demand: Sequence[float],
         bounds: Bounds,
@@ -78,13 +81,13 @@
         return self.demand[expert] / len(self.owners[expert])
 
     def given_up(self, number: int, new: int) -> int | None:
-        """Return the expert that a rank would give up; None if it cannot.
+        """Return the expert, or NO_EXPERT, that a rank would give up.
 
-        -1 stands for none: the rank has a place left.
+        None if the rank has no place left and nothing that it may give up.
         """
         row = self.held[number]
         if len(row) < self.bounds.places:
-            return -1
+            return NO_EXPERT
         others = [e for e in row if e != new and len(self.owners[e]) > 1]
         return min(others, key=self.share, default=None)
 
@@ -95,7 +98,7 @@
         less = self.share(expert) - each
         loads = {owner: self.loads[owner] - less for owner in owners}
         loads[to] = self.loads[to] + each
-        if out >= 0:
+        if out != NO_EXPERT:
             share = self.share(out)
             loads[to] -= share
             more = share / (len(self.owners[out]) - 1)
@@ -105,19 +108,15 @@
 
     def add(self, expert: int, to: int, out: int) -> None:
         """Give a rank a replica of an expert, in place of another or not."""
-        self.loads_after(self.with_replica(expert, to, out))
-        if out >= 0:
+        for number, load in self.with_replica(expert, to, out).items():
+            self.loads[number] = load
+        if out != NO_EXPERT:
             self.held[to].remove(out)
             self.owners[out].discard(to)
         self.held[to].append(expert)
         self.owners[expert].add(to)
         self.spare[to] -= 1
 
-    def loads_after(self, changed: dict[int, float]) -> None:
-        """Take changed loads over."""
-        for number, load in changed.items():
-            self.loads[number] = load
-
 
 def solve(
     held: Sequence[Sequence[int]],
@@ -135,7 +134,7 @@
       least_gain: A replica is loaded only if it lowers the largest load by
         this part of the mean.
     """
-    work = _Set(held, demand, bounds)
+    work = _Set(held=held, demand=demand, bounds=bounds)
     mean = sum(work.loads) / len(work.loads)
     if mean <= 0:
         return Solved(tuple(tuple(row) for row in held), 1.0, 1.0, 0)
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -65,7 +65,7 @@
 
 
 class RankPort(Protocol):
-    """The rank beside an agent; errors are CodedError "rank-lost"."""
+    """A rank, near or far; its errors are CodedError "rank-lost"."""
 
     async def report(self) -> rank.Rank:
         """Return what the rank reports now."""
@@ -82,7 +82,7 @@
     async def order(
         self, order: rank.Order, *, fence: int, epoch: int
     ) -> rank.Outcome:
-        """Give it an order, which is void in another epoch."""
+        """Give it an order, void in another epoch; this does not raise."""
         ...
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
@@ -21,11 +21,11 @@
 
 LOG = logs.Part("lease")
 # Agents of a group that ask for its lease: enough that one is left when a
-# hall and some machines are gone, few enough that they cost the log little.
+# hall and some boxes are gone, few enough that they cost the log little.
 CANDIDATES = 4
 # Seconds between two renewals of the lease, a third of its time.
 RENEW_S = 0.5
-# Seconds between two looks at the own rank; it is asked on its own machine.
+# Seconds between two looks at the own rank; it is asked on its own box.
 WATCH_S = 0.15
 # The same for an agent that does not ask for the lease; its rank's number
 # changes only when the group forms anew.
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/members.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/members.py
@@ -94,6 +94,6 @@
         self.by_name = {item.agent: item for item in [*found, self._own]}
 
     def _member(self, upstream: str) -> reach.Member:
-        """Return a rank by its address; its agent is on the same machine."""
+        """Return a rank by its address; its agent is on the same box."""
         host = upstream.rpartition(":")[0]
         return reach.Member(f"{host}:{self._port}", upstream)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/own_rank.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/own_rank.py
@@ -1,13 +1,13 @@
 """The rank beside this agent: what it tells others, the orders it passes on.
 
-Asked from its own machine a rank answers at once and for nothing, so agents
+Asked from its own box a rank answers at once and for nothing, so agents
 ask their own rank and each other, never another's rank.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from reelscale_core import error, rank
+from reelscale_core import error
 from reelscale_wire.gen import ttypes
 
 from .. import logs, rank_wire
@@ -79,11 +79,3 @@
             self._note_lost(lost)
             return None
         return rank_wire.to_told(told)
-
-
-def outcome_of(answer: ttypes.RankAnswer) -> rank.Outcome:
-    """Read the outcome of an answer; unknown if it makes no sense."""
-    try:
-        return rank.Outcome(answer.outcome)
-    except ValueError:
-        return rank.Outcome.UNKNOWN
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -1,6 +1,6 @@
 """Reaches the ranks of a group, as a rule through the agents beside them.
 
-Asked from another machine a rank is slower and costs more; that is done only
+Asked from another box a rank is slower and costs more; that is done only
 while its agent is silent, so that a change can be brought to its end whoever
 has gone.
 """
@@ -18,7 +18,6 @@
 
 from .. import logs, rank_wire
 from ..adapters import base
-from . import own_rank
 
 LOG = logs.Part("reach")
 # An agent that has not answered after this long, in seconds, connecting
@@ -27,7 +26,7 @@
 TIMEOUT_S = 0.25
 # A silent agent is asked again this often, in seconds.
 AGAIN_S = 0.5
-# What a rank reports to another machine is some hundred milliseconds old
+# What a rank reports to another box is some hundred milliseconds old
 # (0.2 s where it was measured).  So it is asked this long, in seconds, after
 # the question came up, and its answer is true of some time in between.
 REPORT_LAG_S = 0.3
@@ -68,7 +67,7 @@
         self._clock = clock
         self._links = links
         self._port_to = port_to
-        self._silent_since: dict[str, float] = {}
+        self._silent: set[str] = set()
         self._tried_at: dict[str, float] = {}
 
     async def tell(
@@ -94,7 +93,7 @@
     ) -> tuple[rank.Outcome, rank.Rank | None]:
         """Give a rank an order; return its outcome and the rank after it."""
         # A hold and its end go straight to the rank: if its agent gave them,
-        # an agent that then falls silent with its machine would leave the
+        # an agent that then falls silent with its box would leave the
         # group held by a rank that nobody reaches.
         straight = isinstance(order, rank.Hold | rank.Go)
         if straight or self._is_silent(member):
@@ -113,7 +112,7 @@
                 reason=str(lost),
             )
             return rank.Outcome.UNKNOWN, None
-        return own_rank.outcome_of(answer), told
+        return rank_wire.outcome_of(answer), told
 
     async def _order_directly(
         self, member: Member, order: rank.Order, *, fence: int, epoch: int
@@ -124,7 +123,7 @@
         LOG.info(
             "An order went to a rank itself.",
             to=member.upstream,
-            order=type(order).__name__.lower(),
+            order=rank_wire.kind_of(type(order)),
             outcome=outcome.name.lower(),
         )
         return outcome, await self._told_by_agent(member)
@@ -149,24 +148,24 @@
         calling = defer.ensureDeferred(
             to.call(method, message, timeout_s=TIMEOUT_S)
         )
-        # Connecting to a machine that is gone takes longer by itself.
+        # Connecting to a box that is gone takes longer by itself.
         calling.addTimeout(TIMEOUT_S, self._reactor)
         try:
             answer = await calling
         except (link.LinkError, defer.TimeoutError) as lost:
-            now = self._clock.monotonic()
-            if member.agent not in self._silent_since:
+            if not self._is_silent(member):
                 LOG.warning("An agent is silent.", agent=member.agent)
-            self._silent_since.setdefault(member.agent, now)
+            self._silent.add(member.agent)
             raise link.LinkError(
                 peer=member.agent, step=method, written=True
             ) from lost
-        if self._silent_since.pop(member.agent, None) is not None:
+        if self._is_silent(member):
+            self._silent.remove(member.agent)
             LOG.info("An agent answers again.", agent=member.agent)
         return answer
 
     def _is_silent(self, member: Member) -> bool:
-        return member.agent in self._silent_since
+        return member.agent in self._silent
 
     def _try_again(self, member: Member, query: ttypes.RankQuery) -> None:
         """Ask a silent agent now and then, without waiting for it."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -39,6 +39,9 @@
 LARGEST = 1400
 KNOWN_TOLD = 40
 
+# Takes an entry's address for calls and the offset that it has told.
+OffsetListener = Callable[[str, int], None]
+
 
 @dataclasses.dataclass(kw_only=True)
 class Peer:
@@ -62,7 +65,13 @@
 
 
 class Usage(protocol.DatagramProtocol):
-    """Tells this entry's counts and keeps those of others."""
+    """Tells this entry's counts and keeps those of others.
+
+    Attributes:
+      on_offset: Hears how far others are in the configuration.
+      on_roster_offset: Hears how far others are in the list of upstreams.
+      on_change: Called once the counts of others have changed.
+    """
 
     noisy = False
 
@@ -95,10 +104,8 @@
           roster_offset: Gives where this entry reads the list of upstreams
             on, 0 while it has none.
         """
-        self.on_roster_offset: Callable[[str, int], None] = lambda _p, _at: (
-            None
-        )
-        self.on_offset: Callable[[str, int], None] = lambda _peer, _at: None
+        self.on_offset: OffsetListener = _ignore
+        self.on_roster_offset: OffsetListener = _ignore
         self.on_change: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._clock = clock
@@ -239,6 +246,10 @@
         self.on_change()
 
 
+def _ignore(_peer: str, _offset: int) -> None:
+    """Hear an offset and do nothing, until somebody listens."""
+
+
 def _whole(told: ttypes.Usage) -> bool:
     """Tell whether a datagram holds all that it should."""
     fields = (told.name, told.incarnation, told.number, told.counts)
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -33,7 +33,6 @@
 # A peer that is ahead in the configuration for this long, in seconds, is
 # asked for it; entries that read the same record differ by some 0.05 s.
 PEER_LEAD_S = 0.3
-
 # The first so many entries, by name, read the log often enough to notice that
 # an answer was lost; one may be cut off.
 WATCHERS = 2
--- a/packages/reelscale-daemon/src/reelscale_daemon/process.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -26,6 +26,7 @@
     """The ports of a process, and its stop on a signal.
 
     Attributes:
+      reactor: The loop.
       stopping: Whether it has been told to stop.
     """
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_wire.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_wire.py
@@ -3,21 +3,24 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import typing
 from typing import NamedTuple
 
 from reelscale_core import demand, rank
 from reelscale_wire.gen import ttypes
 
+# A message leaves these fields of a rank out while there is nothing to tell.
+OPTIONAL = ("prepared", "armed", "held")
+REQUIRED = tuple(n for n in rank.Rank._fields if n not in OPTIONAL)
+
+
+def kind_of(order: type[rank.Order]) -> str:
+    """Return the word by which messages name a kind of order."""
+    return order.__name__.lower()
+
+
 ORDERS_BY_KIND: dict[str, type[rank.Order]] = {
-    kind.__name__.lower(): kind
-    for kind in (
-        rank.Fence,
-        rank.Prepare,
-        rank.Arm,
-        rank.Disarm,
-        rank.Hold,
-        rank.Go,
-    )
+    kind_of(order): order for order in typing.get_args(rank.Order)
 }
 
 
@@ -51,7 +54,7 @@
 
 def from_told(message: ttypes.RankTold) -> Told:
     """Read what an agent tells; ValueError if a field is missing."""
-    fields = {name: getattr(message, name) for name in rank.Rank._fields[:9]}
+    fields = {name: getattr(message, name) for name in REQUIRED}
     if None in fields.values():
         raise ValueError("a field of the rank is missing")
     armed = None
@@ -73,7 +76,7 @@
     """Turn an order into a message."""
     fields = order._asdict()
     return ttypes.RankOrder(
-        kind=type(order).__name__.lower(),
+        kind=kind_of(type(order)),
         fence=fence,
         epoch=epoch,
         version=fields.get("version", 0),
@@ -95,3 +98,11 @@
         rows = (tuple(tuple(held) for held in row) for row in table)
         return rank.Prepare(version, tuple(rows))
     return kind(*values)
+
+
+def outcome_of(answer: ttypes.RankAnswer) -> rank.Outcome:
+    """Read the outcome of an answer; unknown if it makes no sense."""
+    try:
+        return rank.Outcome(answer.outcome)
+    except ValueError:
+        return rank.Outcome.UNKNOWN
