--- a/features/platform_layout.feature
+++ b/features/platform_layout.feature
@@ -95,7 +95,7 @@
     Then its skew falls below 1.4 within 20 s
 
   Scenario: An old report of a rank is not taken for its state now
-    Given a rank whose reports to other machines are old
+    Given a rank whose reports to other boxes are old
     When it is given a hold
     Then the state after the order is the one that its agent tells
     When its agent is silent and it is given the end of the hold
--- a/standins/ranked.py
+++ b/standins/ranked.py
@@ -8,8 +8,10 @@
 from . import fleet, ranks
 from .process import free_port, wait_for
 
+# The one target; its group has so many ranks.
 TARGET = "moe"
 SIZE = 4
+# The agents' lease_s; they renew the lease each third of it.
 LEASE_S = 1.5
 
 
