--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -1,8 +1,7 @@
 """Follows the platform's list of the upstreams that announce themselves.
 
 The list tells which upstreams there are; how busy each one is stands in its
-view.  For each target the directory knows how soon answers are wanted, how
-long they take and what pace streams keep, which limit the work it gives.
+view, and what limits the work for each target stands beside them.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -12,15 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from reelscale_core import (
-    announcement,
-    clock,
-    error,
-    pace,
-    rendezvous,
-    routing,
-    waiting,
-)
+from reelscale_core import announcement, clock, error, rendezvous, routing
 from reelscale_core import state as states
 from reelscale_wire.gen import ttypes
 from twisted.internet import defer, task
@@ -29,7 +20,7 @@
 from ..adapters import base
 from ..exchange import pool
 from ..filters import call
-from . import peer_lists, usage
+from . import peer_lists, targets, usage
 from . import view as views
 
 LOG = logs.Part("directory")
@@ -39,8 +30,6 @@
 # After a read that failed, in seconds; up to twice as long by chance, so that
 # entries do not all come back together.
 RETRY_S = 0.25
-# Weight of the newest in the smoothed time that a request takes.
-SMOOTHING = 0.1
 # A peer that is ahead in the list for this long, in seconds, is asked for it;
 # entries that read the same record differ by some 0.05 s.
 PEER_LEAD_S = 0.3
@@ -75,9 +64,7 @@
         self._usage = usage
         self._lists = lists
         self._poll_s = poll_s
-        self._goal_s: dict[str, float] = {}
-        self._takes_s: dict[str, float] = {}
-        self._pace_by_target: dict[str, pace.Pace] = {}
+        self._targets = targets.Targets(clock=clock)
         self._name = name
         self._next = 0
         self._regained_at = float("-inf")
@@ -144,20 +131,16 @@
     def candidates(self, target: str) -> list[routing.Candidate]:
         """Return the upstreams that may get new work of a target."""
         now = self._clock.monotonic()
-        goal_s = self._goal_s.get(target, 0.0)
-        takes_s = self._takes_s.get(target)
         found = [
             view.candidate(
                 now,
                 others=self._usage.others(view.upstream.name),
-                waiting=waiting.room(
-                    view.upstream.slots, goal_s=goal_s, takes_s=takes_s
-                ),
+                waiting=self._targets.room(target, view.upstream.slots),
             )
             for view in self.views_by_name.values()
             if view.serves(target)
         ]
-        if routing.used(found) < self._pace(target).limit:
+        if routing.used(found) < self._targets.limit(target):
             return found
         # Streams must keep their pace: each has the slots that it uses now.
         return [item._replace(slots=item.own) for item in found]
@@ -167,13 +150,11 @@
         longest_s = asked.route.pause_s
         if not longest_s:
             return
-        target = asked.target
-        self._pace_by_target[target] = pace.observed(
-            self._pace(target),
+        self._targets.note_pause(
+            asked.target,
             pause_s,
             longest_s=longest_s,
-            now=self._clock.monotonic(),
-            used=routing.used(self.candidates(target)),
+            used=routing.used(self.candidates(asked.target)),
         )
 
     def reachable(self, target: str) -> bool:
@@ -202,25 +183,17 @@
 
     def note_taken(self, target: str, seconds: float) -> None:
         """Take how long an upstream took for a whole answer."""
-        old = self._takes_s.get(target, seconds)
-        self._takes_s[target] = old + SMOOTHING * (seconds - old)
+        self._targets.note_taken(target, seconds)
 
     def follow(self, state: states.State) -> None:
         """Take from the configuration how soon answers are wanted."""
-        self._goal_s = {}
-        for item in state.routes_by_name.values():
-            for share in item.shares:
-                goal_s = self._goal_s.get(share.target, item.goal_s)
-                self._goal_s[share.target] = min(goal_s, item.goal_s)
+        self._targets.follow(state)
 
     def counts(self) -> dict[str, int]:
         """Return this entry's requests in progress by upstream."""
         rows = self.views_by_name.items()
         return {name: view.own for name, view in rows if view.own}
 
-    def _pace(self, target: str) -> pace.Pace:
-        return self._pace_by_target.get(target, pace.Pace())
-
     async def _read(self) -> None:
         """Read the list once, or what has changed since the last time."""
         waits = self.ready and not self._down
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/targets.py
@@ -0,0 +1,71 @@
+"""What limits the work for each target, as an entry learns it.
+
+That is how soon answers are wanted, how long they take, and what pace the
+streams keep.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from reelscale_core import clock, pace, waiting
+from reelscale_core import state as states
+
+# Weight of the newest in the smoothed time that a request takes.
+SMOOTHING = 0.1
+
+
+class Targets:
+    """Keeps what is known of all targets."""
+
+    def __init__(self, *, clock: clock.Clock) -> None:
+        self._clock = clock
+        self._goal_s: dict[str, float] = {}
+        self._takes_s: dict[str, float] = {}
+        self._pace_by_target: dict[str, pace.Pace] = {}
+
+    def follow(self, state: states.State) -> None:
+        """Take from the configuration how soon answers are wanted."""
+        self._goal_s = {}
+        for item in state.routes_by_name.values():
+            for share in item.shares:
+                goal_s = self._goal_s.get(share.target, item.goal_s)
+                self._goal_s[share.target] = min(goal_s, item.goal_s)
+
+    def note_taken(self, target: str, seconds: float) -> None:
+        """Take how long an upstream took for a whole answer."""
+        old = self._takes_s.get(target, seconds)
+        self._takes_s[target] = old + SMOOTHING * (seconds - old)
+
+    def note_pause(
+        self, target: str, pause_s: float, *, longest_s: float, used: float
+    ) -> None:
+        """Take the pause between two events of a stream.
+
+        Args:
+          target: Of the stream.
+          pause_s: The pause, in seconds.
+          longest_s: The longest that its route allows.
+          used: Part of the slots in use.
+        """
+        self._pace_by_target[target] = pace.observed(
+            self._pace(target),
+            pause_s,
+            longest_s=longest_s,
+            now=self._clock.monotonic(),
+            used=used,
+        )
+
+    def room(self, target: str, slots: int) -> int:
+        """Return how many requests may wait at an upstream with some slots."""
+        return waiting.room(
+            slots,
+            goal_s=self._goal_s.get(target, 0.0),
+            takes_s=self._takes_s.get(target),
+        )
+
+    def limit(self, target: str) -> float:
+        """Return the part of the slots in which streams keep their pace."""
+        return self._pace(target).limit
+
+    def _pace(self, target: str) -> pace.Pace:
+        return self._pace_by_target.get(target, pace.Pace())
