--- a/features/models/relayout.py
+++ b/features/models/relayout.py
@@ -105,7 +105,7 @@
             self.engine.obey(sent)
 
     def freeze(self, chooser: Chooser) -> None:
-        """Freeze a machine, the rank on it included, or wake it.
+        """Freeze a box, the rank on it included, or wake it.
 
         The rank steps on with the others, but nothing reaches it.
         """
