--- a/features/platform_usage.feature
+++ b/features/platform_usage.feature
@@ -23,11 +23,6 @@
     When a group's pauses are 0.05 s for 8 s where 0.12 s is good
     Then its limit has come up to the whole
 
-  Scenario: A group that stood still has the limit of before
-    When a group's pauses are 0.05 s for 8 s where 0.12 s is good
-    And 40 streams see a pause of 1.5 s each
-    Then its limit has come up to the whole
-
   Scenario: Entries by themselves find the number of streams that keeps pace
     When 7 entries follow a group whose pause grows with its streams
     Then the pause stays within the good one for 9 of 10 steps after 3 s
--- a/features/steps/platform_usage_steps.py
+++ b/features/steps/platform_usage_steps.py
@@ -144,16 +144,6 @@
     context.pace = found
 
 
-@when("{count:d} streams see a pause of {pause:f} s each")
-def _(context, count, pause):
-    found = context.pace
-    for number in range(count):
-        # All see it within a few ms of each other, when the group goes on.
-        now = found.changed_at + 1.0 + number * 0.005
-        found = pace.observed(found, pause, longest_s=0.12, used=1.0, now=now)
-    context.pace = found
-
-
 @then("its limit has come down to the least")
 def _(context):
     assert context.pace.limit == pace.LEAST, context.pace
--- a/packages/reelscale-core/src/reelscale_core/pace.py
+++ b/packages/reelscale-core/src/reelscale_core/pace.py
@@ -25,9 +25,6 @@
 # The limit goes no lower than this part of the slots: by then it is not the
 # number of requests that makes steps slow.
 LEAST = 0.4
-# A pause of so many times the longest good one is a group that stood still, as
-# when a rank was cut off; that says nothing of how many requests it can have.
-STOOD_STILL = 6.0
 
 
 class Pace(NamedTuple):
@@ -56,8 +53,6 @@
       used: Part of the slots in use.
       now: Monotonic seconds.
     """
-    if pause_s > STOOD_STILL * longest_s:
-        return pace
     old_s = pause_s if pace.pause_s is None else pace.pause_s
     smooth_s = old_s + SMOOTHING * (pause_s - old_s)
     if now - pace.changed_at < CHANGE_EVERY_S:
