Tell in an entry's last line what it leaves unsent

Cause: the log could not tell two hypotheses on the cut answer apart: bytes that the process drops as it ends, or a reset after the process had handed everything to the kernel (docs/incidents/answer-cut-at-stop.md).

Ruled out: nothing yet.

Change: "Stopped." gets the number of callers' connections that are open and the bytes of answers that are still in the process's own buffers. No logic changes.

--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -179,7 +179,12 @@
         self._usage.stop()
         self._directory.stop()
         own.config.stop()
-        LOG.info("Stopped.", broken_off=self._parts.running)
+        LOG.info(
+            "Stopped.",
+            broken_off=self._parts.running,
+            connections=len(self._ingress.channels),
+            unsent_bytes=self._ingress.unsent_bytes,
+        )
 
     # What peers may call, by the names of the Peer service.
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/ingress.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/ingress.py
@@ -81,6 +81,16 @@
         """Whether no request, not even a part of one, is in progress."""
         return not self.requests and not self._reading
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written to the connection that have not left the process."""
+        transport = self.transport
+        if transport is None:
+            return 0
+        # twisted keeps them in two buffers and has no public count of them.
+        buffered = len(transport.dataBuffer) - transport.offset
+        return buffered + transport._tempDataLen
+
     def _stop_head_timer(self) -> None:
         timer, self._head_timer = self._head_timer, None
         if timer is not None and timer.active():
@@ -132,6 +142,11 @@
         """End each connection with its next answer."""
         self.draining = True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that have not left the process."""
+        return sum(channel.unsent_bytes for channel in self.channels)
+
     def close_idle(self) -> None:
         """Close connections on which nothing is in progress."""
         for channel in list(self.channels):
