Show that an entry ends before the last bytes of its answers have left

Cause: a stop waits until no request is in progress, and a request has ended once its last piece is in the buffer of its connection.

Change: tests only. A caller that reads nothing until the entry no longer listens, on the platform (40 answers of 200 KB) and on our own interface (one answer of 8 MB). A third scenario holds the other side: a caller who never reads must not hold a stop up beyond the grace time.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -6,3 +6,10 @@
     Then entry and agent have each grown by less than 1000 KB a caller
     And the engine was held back long before its last event
     And the callers who then read get every event
+
+  Scenario: A stopping entry ends after the last byte of its answers has left
+    Given a cluster of its own with a fast engine
+    When an answer of 8 MB is ready for a caller who reads nothing yet
+    And its entry is told to stop and the caller begins to read when it no longer listens
+    Then the caller gets all 8 MB
+    And the entry exits with status 0
--- a/features/platform_stop.feature
+++ b/features/platform_stop.feature
@@ -29,3 +29,17 @@
     When an entry is told to stop during 6 streams and a kept connection
     Then it refuses new connections before its streams have ended
     And every stream ends whole
+
+  Scenario: A stopping entry ends after the last byte of its answers has left
+    Given a fleet of its own
+    When 40 answers are ready for a caller who reads nothing yet
+    And the entry is told to stop and its caller begins to read when it no longer listens
+    Then the caller gets every answer whole
+    And the process ends by itself with status 0 within its grace time
+
+  Scenario: A caller who never reads does not hold a stop up
+    Given a fleet of its own
+    When 40 answers are ready for a caller who reads nothing yet
+    And the entry is told to stop and its caller reads nothing
+    Then the process ends by itself with status 0 within its grace time
+    And its last line counts the bytes that had not left it
--- a/standins/blast.py
+++ b/standins/blast.py
@@ -1,7 +1,8 @@
 """Stand-in for an engine that answers as fast as it can, for benches.
 
 Streams max_tokens events at once, or at the pace that a prompt of
-"pace N" asks for, and reports itself on layout 1.
+"pace N" asks for, and reports itself on layout 1.  A prompt of "wide N"
+asks for events of N letters.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -16,7 +17,8 @@
 from . import web
 
 BATCH = 16
-EVENT = b'data: {"choices":[{"index":0,"text":"word "}]}\n\n'
+EVENT = b'data: {"choices":[{"index":0,"text":"%b"}]}\n\n'
+WORD = b"word "
 RANK = {
     "fence": 0,
     "seq": 0,
@@ -38,8 +40,11 @@
 class Stream:
     """One answer, written as fast as it is read."""
 
-    def __init__(self, request: Any, count: int, pace: float) -> None:
+    def __init__(
+        self, request: Any, count: int, pace: float, text: bytes
+    ) -> None:
         self.request = request
+        self.event = EVENT % text
         self.left = count
         self.batch = 1 if pace else BATCH
         self.pause_s = 1 / pace if pace else 0.0
@@ -67,7 +72,7 @@
             return
         count = min(self.batch, self.left)
         self.left -= count
-        self.request.write(EVENT * count)
+        self.request.write(self.event * count)
         if self.left:
             reactor.callLater(self.pause_s, self.write)
             return
@@ -89,10 +94,11 @@
         return {"accepted": True, "rank": RANK}
     data = json.loads(request.content.read())
     request.setHeader(b"content-type", b"text/event-stream")
-    # The prompt may ask for so many events a second.
+    # The prompt may ask for so many events a second, or letters an event.
     words = str(data.get("prompt", "")).split()
     pace = float(words[1]) if words[:1] == ["pace"] else 0.0
-    STREAMS.append(Stream(request, int(data["max_tokens"]), pace))
+    text = b"w" * int(words[1]) if words[:1] == ["wide"] else WORD
+    STREAMS.append(Stream(request, int(data["max_tokens"]), pace, text))
     return server.NOT_DONE_YET
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -20,6 +20,8 @@
 EVENTS = 6
 EVENT_GAP_S = 0.01
 BODY = b"whole answer of %b"
+# Below the size from which an entry hands answers on piece by piece.
+BULK_BYTES = 200_000
 
 
 class Worker(protocol.Factory):
@@ -316,6 +318,7 @@
     "gap": lambda channel: channel.stream(ids=lambda n: n if n < 3 else n + 1),
     "slow": lambda channel: channel.stream(gap_s=0.4),
     "large": lambda channel: channel.whole(b"x" * 1_000_000),
+    "bulk": lambda channel: channel.whole(b"x" * BULK_BYTES),
 }
 
 
