End a process only when the bytes of its answers have left it

Cause: a stop waited for requests. A request ends when the last piece of its answer is in the buffer of its connection; twisted writes that buffer in the next turn of the loop, or later if the caller reads slowly. A stop that looked in between ended the process, which dropped the buffer. The class: a shutdown that waits for the producer's bookkeeping instead of for delivery.

Change: a stop waits for connections. Each server of a process (callers, probes, operators, peers) keeps count of its connections and closes each in order once nothing is in progress on it; a connection that is closed in order ends only after its bytes have left. process.Listener.close_connections waits for all to end, within the grace time, and "Stopped." says what is left. It is one mechanism for both kinds of entry and both kinds of agent: a call between processes that is being answered (an order to a rank, a pull) is answered before its connection goes. Our own entry now also tells kept connections to close, and a stop that fails is logged instead of swallowed.

--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -30,7 +30,7 @@
 # A load report older than this means that the upstream is not well.
 UNWELL_S = 3.0
 # What a request sent at the last moment of a grant may take to arrive.
-STOP_MARGIN_S = 0.5
+ARRIVAL_S = 0.5
 
 
 @implementer(Peer.Iface)
@@ -105,7 +105,7 @@
             cut = health.Cut(links=base.links, platform=base.platform)
             test.putChild(b"cut", cut)
         await base.listen(base.settings.peer, link.Server(handler=self))
-        await base.listen(base.settings.http, process.site(root))
+        await base.listen(base.settings.http, process.make_site(root))
         defer.ensureDeferred(base.config.run())
         self._start_loops()
         base.on_signal(self.stop)
@@ -124,7 +124,7 @@
         self._streams.gate.leaving = True
         # Until every grant has lapsed, entries that have not heard yet may
         # send; they get a refusal instead of a connection that breaks.
-        await task.deferLater(base.reactor, grant.LAPSE_S + STOP_MARGIN_S)
+        await task.deferLater(base.reactor, grant.LAPSE_S + ARRIVAL_S)
         while self._streams.gate.running or self._unpulled():
             await task.deferLater(base.reactor, process.STOP_POLL_S)
         self._layouts.stop()
@@ -133,7 +133,8 @@
             loop.stop()
         base.config.stop()
         await base.stop_listening()
-        LOG.info("Stopped.")
+        left = await base.close_connections(within=base.settings.grace)
+        LOG.info("Stopped.", **left._asdict())
 
     # What peers may call, by the names of the Peer service.
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/callers.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/callers.py
@@ -184,7 +184,10 @@
 
 
 def request_class(body_bytes: int) -> type[server.Request]:
-    """Return a request class that holds bodies in bounded memory."""
+    """Return a request class for callers of a site.
+
+    It holds bodies in bounded memory, and its answers heed a stop.
+    """
 
     class Request(server.Request):
         """A request whose body is kept in memory up to a limit."""
@@ -203,6 +206,15 @@
             if not self.too_large:
                 super().handleContentChunk(data)
 
+        def write(self, data: bytes) -> None:
+            """Write a piece; the first one says whether more may follow."""
+            channel = self.channel
+            first = not self.startedWriting
+            if first and channel is not None and channel.factory.draining:
+                self.setHeader(b"connection", b"close")
+                channel.persistent = False
+            super().write(data)
+
         def getHeader(self, key: Any) -> Any:  # noqa: N802
             """Return the last header of a name as text."""
             return http.Request.getHeader(self, key)
--- a/packages/reelscale-daemon/src/reelscale_daemon/entry.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/entry.py
@@ -73,8 +73,8 @@
         base = self._base
         await base.listen(base.settings.peer, link.Server(handler=self))
         request_class = callers.request_class(base.settings.body_bytes)
-        site = process.site(self._root(), request_class)
-        await base.listen(base.settings.http, site)
+        self._site = process.make_site(self._root(), request_class)
+        await base.listen(base.settings.http, self._site)
         defer.ensureDeferred(base.config.run())
         self._membership.start()
         base.on_signal(self.stop)
@@ -90,6 +90,7 @@
     async def stop(self) -> None:
         """Say not ready, take no more, let requests end, then go."""
         base = self._base
+        self._site.drain()
         # The platform's balancer needs time to see that we are not ready.
         await task.deferLater(
             base.reactor, base.settings.stop_wait.total_seconds()
@@ -97,9 +98,10 @@
         await base.stop_listening()
         while self._parts.running:
             await task.deferLater(base.reactor, process.STOP_POLL_S)
+        left = await base.close_connections(within=base.settings.grace)
         self._membership.stop()
         base.config.stop()
-        LOG.info("Stopped.")
+        LOG.info("Stopped.", **left._asdict())
 
     # What peers may call, by the names of the Peer service.
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -10,10 +10,10 @@
 from reelscale_wire import link
 from reelscale_wire.gen import Peer, ttypes
 from twisted.internet import defer, task
-from twisted.web import resource, server
+from twisted.web import resource
 from zope.interface import implementer
 
-from . import callers, health, ingress, logs, metrics, process
+from . import callers, health, ingress, logs, metrics, process, site
 from .adapters import base
 from .controllers import config, directory, peer_lists, usage
 from .exchange import pool
@@ -27,9 +27,6 @@
     admit.admit,
     relay.relay,
 )
-# What is still in progress this long before the end of the grace time is
-# broken off, in seconds, so that the process ends by itself.
-STOP_MARGIN_S = 0.4
 # A peer that is ahead in the configuration for this long, in seconds, is
 # asked for it; entries that read the same record differ by some 0.05 s.
 PEER_LEAD_S = 0.3
@@ -164,27 +161,18 @@
     async def stop(self) -> None:
         """Say not ready, let requests end, then go within the grace time."""
         own = self._base
-        grace_s = own.settings.grace.total_seconds()
-        end_by = self._clock.monotonic() + grace_s - STOP_MARGIN_S
         self._ingress.drain()
         stop_wait_s = own.settings.stop_wait.total_seconds()
         await task.deferLater(self._reactor, stop_wait_s)
         # A balancer that finds too few ready sends new callers to all; they
         # find another entry at once when nobody listens here.
         await own.stop_listening()
-        self._ingress.close_idle()
-        while self._parts.running and self._clock.monotonic() < end_by:
-            await task.deferLater(self._reactor, process.STOP_POLL_S)
-            self._ingress.close_idle()
+        within = own.left_of(own.settings.grace)
+        left = await own.close_connections(within=within)
         self._usage.stop()
         self._directory.stop()
         own.config.stop()
-        LOG.info(
-            "Stopped.",
-            broken_off=self._parts.running,
-            connections=len(self._ingress.channels),
-            unsent_bytes=self._ingress.unsent_bytes,
-        )
+        LOG.info("Stopped.", broken_off=self._parts.running, **left._asdict())
 
     # What peers may call, by the names of the Peer service.
 
@@ -198,7 +186,7 @@
         """Give the list of upstreams to a peer that cannot read it."""
         return self._directory.answer(query.have_offset)
 
-    def _probes(self) -> server.Site:
+    def _probes(self) -> site.Site:
         """Return the site for readiness and metrics."""
         root = resource.Resource()
         health.add_routes(
@@ -208,7 +196,7 @@
             refresh=self._refresh,
             ready_path=self._adapter.surface.ready_path,
         )
-        return process.site(root)
+        return process.make_site(root)
 
     def _not_ready(self) -> str:
         if reason := self._base.not_ready():
--- a/packages/reelscale-daemon/src/reelscale_daemon/process.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -3,23 +3,62 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import math
 import signal
 import uuid
 from collections.abc import Awaitable, Callable
-from typing import Any
+from datetime import timedelta
+from typing import Any, NamedTuple, Protocol
 
 from reelscale_core import clock, error, settings
 from reelscale_wire import link
-from twisted.internet import defer, endpoints
-from twisted.web import server
+from twisted.internet import defer, endpoints, task
+from twisted.python import failure
 
-from . import logs, metrics
+from . import logs, metrics, site
 from .controllers import config
 
 LOG = logs.Part("process")
 # A process that stops looks this often, in seconds, whether its requests
 # have ended; what it waits in vain is little beside a grace time of seconds.
 STOP_POLL_S = 0.05
+# A stop is over this long before the end of the grace time, in seconds, so
+# that the process ends by itself.
+STOP_MARGIN_S = 0.4
+# Peers and probes may leave a connection at rest for so many seconds.
+IDLE_TIMEOUT_S = 300.0
+
+
+class Served(Protocol):
+    """A server that can close its connections in order.
+
+    Attributes:
+      connections: Those that are open; bytes that were written to one may
+        still be in the process.
+    """
+
+    connections: set[Any]
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written to connections that have not left the process."""
+        ...
+
+    def close_idle(self) -> None:
+        """Close each connection as soon as nothing is in progress on it."""
+        ...
+
+
+class Unfinished(NamedTuple):
+    """What a stop leaves behind.
+
+    Attributes:
+      connections: Connections that are still open.
+      unsent_bytes: Bytes written to them that have not left the process.
+    """
+
+    connections: int
+    unsent_bytes: int
 
 
 class Listener:
@@ -27,21 +66,26 @@
 
     Attributes:
       reactor: The loop.
+      clock: The time.
       stopping: Whether it has been told to stop.
     """
 
-    def __init__(self, *, reactor: Any) -> None:
+    def __init__(self, *, reactor: Any, clock: clock.Clock) -> None:
         self.reactor = reactor
+        self.clock = clock
         self.stopping = False
         self._ports: list[Any] = []
+        self._served: list[Served] = []
+        self._stopping_since = math.inf
 
-    async def listen(self, address: str, factory: Any) -> None:
+    async def listen(self, address: str, factory: Served) -> None:
         """Serve a factory at "ip:port"."""
         host, port = address.rsplit(":", 1)
         point = endpoints.TCP4ServerEndpoint(
             self.reactor, int(port), interface=host, backlog=512
         )
         self._ports.append(await point.listen(factory))
+        self._served.append(factory)
 
     async def stop_listening(self) -> None:
         """Take no more connections; those that stand go on."""
@@ -49,6 +93,38 @@
         for port in ports:
             await defer.maybeDeferred(port.stopListening)
 
+    async def close_connections(self, *, within: timedelta) -> Unfinished:
+        """Close every connection once nothing is in progress on it.
+
+        A process must not end before: what it has written to a connection
+        may still be in its own memory, and goes with it.  A connection that
+        was closed in order ends only when its bytes have left.
+
+        Args:
+          within: Connections that take longer are left as they are.
+        """
+        end_by = self.clock.monotonic() + within.total_seconds()
+        for served in self._served:
+            served.close_idle()
+        while self._open() and self.clock.monotonic() < end_by:
+            await task.deferLater(self.reactor, STOP_POLL_S)
+        unsent_bytes = sum(served.unsent_bytes for served in self._served)
+        return Unfinished(self._open(), unsent_bytes)
+
+    def left_of(self, grace: timedelta) -> timedelta:
+        """Return what a stop that has begun may still take.
+
+        Args:
+          grace: From the signal to the end of the process by force.
+        """
+        taken_s = self.clock.monotonic() - self._stopping_since
+        left = grace - timedelta(seconds=taken_s + STOP_MARGIN_S)
+        return max(left, timedelta())
+
+    def _open(self) -> int:
+        """Return the number of connections that are open."""
+        return sum(len(served.connections) for served in self._served)
+
     def on_signal(self, stop: Callable[[], Awaitable[None]]) -> None:
         """Stop in order on SIGTERM or SIGINT; further ones change nothing."""
 
@@ -60,8 +136,10 @@
                 LOG.info("Already stopping; requests in progress go on.")
                 return
             self.stopping = True
+            self._stopping_since = self.clock.monotonic()
             LOG.info("Stopping in order.")
             done = defer.ensureDeferred(stop())
+            done.addErrback(_log_stop_failure)
             done.addBoth(lambda _: self.reactor.stop())
 
         signal.signal(signal.SIGTERM, handle)
@@ -108,7 +186,6 @@
 
     Attributes:
       settings: What the process was told.
-      clock: The time.
       incarnation: Tells this start of the process from all others.
       links: Connections to peers.
       platform: The platform's log.
@@ -125,9 +202,8 @@
         peer_lead_s: float | None = None,
         poll_s: Callable[[], float] = lambda: config.POLL_S,
     ) -> None:
-        super().__init__(reactor=reactor)
+        super().__init__(reactor=reactor, clock=clock)
         self.settings = settings
-        self.clock = clock
         self.incarnation = uuid.uuid4().hex[:12]
         self.links = link.Links(reactor=reactor)
         self.platform = platform
@@ -154,12 +230,13 @@
         metrics.log_age.set({}, self.config.shown_log_age_s())
 
 
-def site(root: Any, request_class: Any = None) -> server.Site:
-    """Return an HTTP site without an access log."""
-    made = server.Site(root, timeout=300)
-    made.displayTracebacks = False
-    made.noisy = False
-    made.log = lambda _request: None
-    if request_class is not None:
-        made.requestFactory = request_class
-    return made
+def make_site(root: Any, request_class: Any = None) -> site.Site:
+    """Return an HTTP site for probes, operators and own callers."""
+    return site.Site(
+        root, idle_timeout_s=IDLE_TIMEOUT_S, request_class=request_class
+    )
+
+
+def _log_stop_failure(reason: failure.Failure) -> None:
+    """Log why a stop ended early; the process ends all the same."""
+    LOG.error("The stop failed.", reason=reason.getTraceback())
--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
@@ -41,7 +41,7 @@
         self._reactor = reactor
         self._clock = clock.SystemClock()
         self._metrics = metrics.Metrics()
-        self._listener = process.Listener(reactor=reactor)
+        self._listener = process.Listener(reactor=reactor, clock=self._clock)
         self._adapter = self._make_adapter()
         own = reach.Member(settings.peer, _address(settings.engine))
         port_to = self._adapter.port_to
@@ -116,7 +116,9 @@
             await self._looking
         await self._keeper.stop()
         await self._listener.stop_listening()
-        LOG.info("Stopped.")
+        within = self._listener.left_of(self.settings.grace)
+        left = await self._listener.close_connections(within=within)
+        LOG.info("Stopped.", **left._asdict())
 
     def _take_settings(self, new: settings.Settings) -> None:
         """Keep new settings for the next reading; none changes this start."""
@@ -140,7 +142,7 @@
             metrics=self._metrics,
             refresh=lambda: None,
         )
-        return process.site(root)
+        return process.make_site(root)
 
 
 def _address(url: str) -> str:
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/site.py
@@ -0,0 +1,125 @@
+"""HTTP servers that know their connections and can close them in order.
+
+twisted.web forgets a request once its last piece is in the buffer of the
+connection.  A stop must wait for more than that: until the bytes have left
+the process, which a connection that was closed in order shows by its end.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Any
+
+from reelscale_wire import outgoing
+from twisted.web import http, resource, server
+
+
+class Channel(http.HTTPChannel):
+    """A connection of a caller; its site closes it when it stops."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._reading = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Note the connection."""
+        super().connectionMade()
+        self.factory.connections.add(self)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Forget the connection."""
+        self.factory.connections.discard(self)
+        super().connectionLost(reason)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes; from the first on, a request is in progress."""
+        if not self.requests:
+            self._reading = True
+        super().dataReceived(data)
+
+    def allContentReceived(self) -> None:  # noqa: N802
+        """Note that the request is whole."""
+        self._reading = False
+        super().allContentReceived()
+
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """End a request; its connection as well, if the site closes."""
+        super().requestDone(request)
+        self.close_if_idle()
+
+    def close_if_idle(self) -> None:
+        """Close a connection of a closing site once nothing is in progress.
+
+        What was written to it leaves the process first.
+        """
+        if self.factory.closing and self.idle:
+            self.loseConnection()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request, not even a part of one, is in progress."""
+        return not self.requests and not self._reading
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written to the connection that have not left the process."""
+        return outgoing.unsent_bytes(self.transport)
+
+
+class Site(server.Site):
+    """Serves resources and keeps count of the connections.
+
+    Attributes:
+      connections: The connections that are open.
+      draining: Whether every answer ends its connection.
+      closing: Whether connections are closed once they are idle.
+    """
+
+    def __init__(
+        self,
+        resource: resource.Resource,
+        *,
+        reactor: Any = None,
+        idle_timeout_s: float,
+        request_class: Any = None,
+    ) -> None:
+        super().__init__(resource, reactor=reactor, timeout=idle_timeout_s)
+        self.connections: set[Channel] = set()
+        self.draining = False
+        self.closing = False
+        self.displayTracebacks = False
+        self.noisy = False
+        if request_class is not None:
+            self.requestFactory = request_class
+
+    def buildProtocol(self, address: Any) -> Channel:  # noqa: N802
+        """Return the protocol of a new connection."""
+        made = self.make_channel()
+        made.factory = self
+        made.site = self
+        made.requestFactory = self.requestFactory
+        made.timeOut = self.timeOut
+        made.callLater = self.reactor.callLater
+        return made
+
+    def make_channel(self) -> Channel:
+        """Return a channel that knows nothing yet."""
+        return Channel()
+
+    def log(self, request: Any) -> None:
+        """Write no access log; the daemon logs what it decides."""
+
+    def drain(self) -> None:
+        """End each connection with its next answer."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        """Close each connection as soon as nothing is in progress on it."""
+        self.draining = self.closing = True
+        for channel in list(self.connections):
+            channel.close_if_idle()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that have not left the process."""
+        return sum(channel.unsent_bytes for channel in self.connections)
--- a/packages/reelscale-wire/src/reelscale_wire/link.py
+++ b/packages/reelscale-wire/src/reelscale_wire/link.py
@@ -14,6 +14,7 @@
 from twisted.internet import defer, endpoints, error, protocol
 from twisted.internet.interfaces import IReactorTime
 
+from . import outgoing
 from .gen import Peer
 
 CONNECT_TIMEOUT_S = 1.0
@@ -62,32 +63,72 @@
 class ServerProtocol(TTwisted.ThriftServerProtocol):
     """The answering side; sends small frames at once."""
 
+    def __init__(self) -> None:
+        self._calls = 0
+
     def connectionMade(self) -> None:  # noqa: N802
         """Send without delay and keep track of the connection."""
         self.transport.setTcpNoDelay(True)
-        self.factory.open.add(self)
+        self.factory.connections.add(self)
         super().connectionMade()
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Forget the connection."""
-        self.factory.open.discard(self)
+        self.factory.connections.discard(self)
         super().connectionLost(reason)
 
+    def stringReceived(self, frame: bytes) -> None:  # noqa: N802
+        """Begin a call."""
+        self._calls += 1
+        super().stringReceived(frame)
+
     def processOk(self, _: Any, tmo: Any) -> None:  # noqa: N802
         """Send an answer, unless the connection has gone meanwhile."""
+        self._calls -= 1
         if self.connected:
             super().processOk(_, tmo)
+            self.close_if_idle()
+
+    def close_if_idle(self) -> None:
+        """Close a connection of a closing server once no call is open.
+
+        What was written to it leaves the process first.
+        """
+        if self.factory.closing and not self._calls:
+            self.transport.loseConnection()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written to the connection that have not left the process."""
+        return outgoing.unsent_bytes(self.transport)
 
 
 class Server(TTwisted.ThriftServerFactory):
-    """Answers peers by way of a handler with the methods of Peer."""
+    """Answers peers by way of a handler with the methods of Peer.
+
+    Attributes:
+      connections: The connections that are open.
+      closing: Whether connections are closed once no call is open on them.
+    """
 
     protocol = ServerProtocol
 
     def __init__(self, *, handler: Any) -> None:
         super().__init__(Peer.Processor(handler), CODEC())
         self.noisy = False
-        self.open: set[ServerProtocol] = set()
+        self.connections: set[ServerProtocol] = set()
+        self.closing = False
+
+    def close_idle(self) -> None:
+        """Close each connection as soon as no call is open on it."""
+        self.closing = True
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that have not left the process."""
+        return sum(item.unsent_bytes for item in self.connections)
 
 
 class Link:
