Answer what is still in progress before the grace time ends

Cause: a stop broke off what was in progress at the end of the grace time by ending the process; the callers' connections closed without a word.

Ruled out: that the requests could be waited for (the process is ended by force 0.4 s later), and that 503 could be said of one that was sent (its upstream may be running it).

Change: 0.3 s before a stop must be over, each request in progress is ended: one that waits for a slot is refused (503, not run), one that was sent gets 504 with code "stopping", a stream that has begun is broken off as before. The answers have the 0.3 s to leave, by the same wait for connections as all others. broken_off counts those ended so.

--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
@@ -13,7 +13,7 @@
 from twisted.internet import defer
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, eq=False)
 class Call:
     """One request of a caller and what the filters found out.
 
@@ -47,6 +47,8 @@
       turn: Fires when it leaves the queue.
       left: Whether the caller has gone.
       on_left: Called when it goes, to stop the attempt in progress.
+      on_expire: Called with a code when the process can wait for it no
+        longer, to end the attempt in progress.
       outcome: What became of it, for metrics.
       code: Error code, empty when all went well.
       first_byte_at: Monotonic seconds of the answer's first chunk.
@@ -83,6 +85,7 @@
     turn: defer.Deferred | None = None
     left: bool = False
     on_left: Callable[[], Any] | None = None
+    on_expire: Callable[[str], Any] | None = None
     outcome: str = ""
     code: str = ""
     first_byte_at: float | None = None
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -16,6 +16,8 @@
 # Opening a connection may take this long, in seconds; a lost opening packet
 # is sent again after one second.
 CONNECT_MOST_S = 1.2
+# The code of a request whose own time is up.
+TIMEOUT = "timeout"
 
 
 async def run(
@@ -36,8 +38,9 @@
         asked=asked, given=given, out=out, conn=conn, upstream=upstream
     )
     left_s = max(0.0, given.left_s(asked))
-    timer = given.reactor.callLater(left_s, sent.time_out)
+    timer = given.reactor.callLater(left_s, sent.give_up, TIMEOUT)
     asked.on_left = conn.abort
+    asked.on_expire = sent.give_up
     try:
         conn.send(_request(sent))
         await direct_answer.relay(sent)
@@ -86,7 +89,7 @@
     """Return the error that a broken exchange comes to."""
     if sent.asked.left:
         return writer.CallerLeftError()
-    if sent.timed_out:
+    if sent.given_up:
         return _late(sent)
     sent.given.note_failure(sent.name)
     return attempt.AttemptLostError(
@@ -97,9 +100,9 @@
 def _late(sent: direct_answer.Sent) -> Exception:
     """Return the error that ends a request whose time is up."""
     if sent.out.begun:
-        return writer.BrokenError("timeout", sent.name)
+        return writer.BrokenError(sent.given_up, sent.name)
     return error.CodedError(
-        "timeout",
+        sent.given_up,
         step="relay",
         peer=sent.name,
         status=504,
@@ -111,6 +114,7 @@
 def _end(sent: direct_answer.Sent, timer: Any) -> None:
     """Stop the clock of an attempt and keep its connection if it is good."""
     sent.asked.on_left = None
+    sent.asked.on_expire = None
     if timer.active():
         timer.cancel()
     if sent.conn.usable:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -34,7 +34,7 @@
       out: Where the answer goes.
       conn: The connection, this attempt's alone until it ends.
       upstream: Where the request goes.
-      timed_out: Whether the time of the request ran out.
+      given_up: Code of the reason why it was ended, empty if it was not.
     """
 
     asked: call.Call
@@ -42,7 +42,7 @@
     out: writer.Writer
     conn: connection.Connection
     upstream: announcement.Announcement
-    timed_out: bool = False
+    given_up: str = ""
 
     @property
     def name(self) -> str:
@@ -56,9 +56,9 @@
             return self.asked.resume_after
         return self.out.last_id
 
-    def time_out(self) -> None:
-        """Give up, since the time of the request is up."""
-        self.timed_out = True
+    def give_up(self, code: str) -> None:
+        """End the attempt, since the time of the request is up."""
+        self.given_up = code
         self.conn.abort()
 
     def lost(self, code: str) -> attempt.AttemptLostError:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -138,7 +138,7 @@
         self.dialect = dialect
         self.routes = route.Table(routes=())
         self.running_by_workspace: dict[str, int] = {}
-        self.running = 0
+        self.calls: set[call.Call] = set()
         self.budget = retry.Budget()
         self.outages = outages.Outages(clock=clock)
         self.decisions: collections.OrderedDict[str, Decision] = (
@@ -181,13 +181,18 @@
         """Return how long a request's answer may still take."""
         return asked.end_by - self.clock.monotonic()
 
+    @property
+    def running(self) -> int:
+        """Number of requests in progress."""
+        return len(self.calls)
+
     def enter(self, asked: call.Call) -> None:
         """Count a request in."""
         name = asked.workspace.name
         self.running_by_workspace[name] = (
             self.running_by_workspace.get(name, 0) + 1
         )
-        self.running += 1
+        self.calls.add(asked)
 
     def leave(self, asked: call.Call) -> None:
         """Count a request out."""
@@ -195,7 +200,7 @@
         self.running_by_workspace[name] -= 1
         if not self.running_by_workspace[name]:
             del self.running_by_workspace[name]
-        self.running -= 1
+        self.calls.discard(asked)
 
     def choose(self, asked: call.Call) -> routing.Choice | None:
         """Choose an upstream for a request."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -4,6 +4,7 @@
 __license__ = "Apache-2.0"
 
 import importlib
+from datetime import timedelta
 from typing import Any
 
 from reelscale_core import clock, settings
@@ -17,7 +18,16 @@
 from .adapters import base
 from .controllers import config, directory, peer_lists, usage
 from .exchange import pool
-from .filters import admit, direct, limit, outage, parts, relay, routed
+from .filters import (
+    admit,
+    direct,
+    expiry,
+    limit,
+    outage,
+    parts,
+    relay,
+    routed,
+)
 
 LOG = logs.Part("entry")
 CHAIN = (
@@ -27,6 +37,10 @@
     admit.admit,
     relay.relay,
 )
+# Requests that are still in progress this long before a stop must be over are
+# ended, so that their answers can leave: some round trips to a caller far
+# away, at 50 ms each.
+LAST_ANSWERS = timedelta(seconds=0.3)
 # A peer that is ahead in the configuration for this long, in seconds, is
 # asked for it; entries that read the same record differ by some 0.05 s.
 PEER_LEAD_S = 0.3
@@ -167,12 +181,27 @@
         # A balancer that finds too few ready sends new callers to all; they
         # find another entry at once when nobody listens here.
         await own.stop_listening()
-        within = own.left_of(own.settings.grace)
-        left = await own.close_connections(within=within)
+        broken_off, left = await self._end_connections()
         self._usage.stop()
         self._directory.stop()
         own.config.stop()
-        LOG.info("Stopped.", broken_off=self._parts.running, **left._asdict())
+        LOG.info("Stopped.", broken_off=broken_off, **left._asdict())
+
+    async def _end_connections(self) -> tuple[int, process.Unfinished]:
+        """Wait for the requests in progress, then end what is left of them.
+
+        Returns:
+          The number of requests that had to be ended, and what of the
+          connections is open all the same.
+        """
+        own = self._base
+        within = own.left_of(own.settings.grace)
+        left = await own.close_connections(within=within - LAST_ANSWERS)
+        broken_off = expiry.expire_all(self._parts)
+        if left.connections:
+            within = own.left_of(own.settings.grace)
+            left = await own.close_connections(within=within)
+        return broken_off, left
 
     # What peers may call, by the names of the Peer service.
 
