Log an answer that had ended and whose end its caller never got

Cause: the log called a request "ran" once its last piece was in the buffer of the connection; when the connection then ended with bytes unsent, no line said so. On-call engineers would have found "ran" for an answer that was cut.

Ruled out: doing it where a request is still in progress (that has a line, "caller-left" or "An answer broke off.").

Change: a connection that ends with unsent bytes and no request in progress writes a warning with the id of its last request, the bytes and the reason.

--- a/features/platform_stop.feature
+++ b/features/platform_stop.feature
@@ -50,3 +50,9 @@
     Then the request is answered with status 504 and its connection closed
     And the process ends by itself with status 0 within its grace time
     And its last line says that 1 request was broken off
+
+  Scenario: An answer that its caller never took is seen in the log
+    Given a fleet of its own
+    When 40 answers are ready for a caller who reads nothing yet
+    And the caller goes away without reading
+    Then the log names its last request and the bytes that it did not get
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -73,7 +73,7 @@
     context.sock = _connect(made.http["f1"])
     for _ in range(count):
         headers = made.headers()
-        host = headers.pop("Host")
+        host, context.last_id = headers.pop("Host"), headers["Request-Id"]
         head = _head("GET", "/read/bulk", host, headers)
         context.sock.sendall(head)
 
@@ -102,6 +102,25 @@
     context.stopped_at = time.monotonic()
 
 
+@when("the caller goes away without reading")
+def _(context):
+    context.sock.close()
+
+
+@then("the log names its last request and the bytes that it did not get")
+def _(context):
+    made = context.cluster
+    text = "A connection ended before its last answer had left."
+
+    def line():
+        rows = made.log_lines("f1")
+        return next((row for row in rows if row["text"] == text), None)
+
+    row = process.wait_for(line, "the line")
+    assert row["unsent_bytes"] > MEGABYTE, row
+    assert row["request"] == context.last_id, (row, context.last_id)
+
+
 @then("the caller gets every answer whole")
 def _(context):
     body = b"x" * worker.BULK_BYTES
--- a/packages/reelscale-daemon/src/reelscale_daemon/callers.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/callers.py
@@ -37,6 +37,7 @@
         except error.CodedError as bad:
             self._surface.refuse(request, bad, request_id="")
             return server.NOT_DONE_YET
+        request.channel.last_id = asked.id
         request.notifyFinish().addErrback(_left, asked)
         done = defer.ensureDeferred(self._serve(asked))
         done.addErrback(self._bug, asked)
--- a/packages/reelscale-daemon/src/reelscale_daemon/site.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/site.py
@@ -13,12 +13,21 @@
 from reelscale_wire import outgoing
 from twisted.web import http, resource, server
 
+from . import logs
+
+LOG = logs.Part("site")
+
 
 class Channel(http.HTTPChannel):
-    """A connection of a caller; its site closes it when it stops."""
+    """A connection of a caller; its site closes it when it stops.
+
+    Attributes:
+      last_id: Id of the newest request on it, empty if none was read.
+    """
 
     def __init__(self) -> None:
         super().__init__()
+        self.last_id = ""
         self._reading = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -27,8 +36,18 @@
         self.factory.connections.add(self)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        """Forget the connection."""
+        """Forget the connection; say if an answer that had ended is cut.
+
+        No other line would: the log has the request as answered.
+        """
         self.factory.connections.discard(self)
+        if self.unsent_bytes and not self.requests:
+            LOG.warning(
+                "A connection ended before its last answer had left.",
+                request=self.last_id,
+                unsent_bytes=self.unsent_bytes,
+                reason=reason.getErrorMessage(),
+            )
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
