Test that no datagram port of a cluster is given to another before its start

The harness asks the system for each engine's datagram port and lets go of it at once; until the engine starts, anybody may be given it. An engine whose port is taken ends before it listens for its agent, and its box refuses connections for good.

--- a/features/product.feature
+++ b/features/product.feature
@@ -55,3 +55,9 @@
     Then the plan said that the skew would fall
     And the skew that the engines see falls
     And no step ran on two layouts
+
+  Scenario: No other program is given a datagram port of a cluster before it starts
+    Given a cluster with engines 2 that is laid out and not started
+    When another program asks for the datagram ports of its engines
+    Then the program is refused each of them
+    And the cluster comes up
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -3,7 +3,11 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from behave import given
+import errno
+import json
+import socket
+
+from behave import given, then, when
 
 from standins import cluster
 
@@ -28,6 +32,41 @@
     _own(context, **{option: value})
 
 
+@given("a cluster with {option} {value:d} that is laid out and not started")
+def _(context, option, value):
+    context.cluster = cluster.Cluster(**{option: value})
+
+
+@when("another program asks for the datagram ports of its engines")
+def _(context):
+    made = context.cluster
+    files = [made.dir / f"engine-{name}.json" for name, _ in made.engines]
+    ports = [json.loads(file.read_text())["udp"] for file in files]
+    assert len(set(ports)) == len(ports), ports
+    context.taken = [port for port in ports if _take(port)]
+
+
+@then("the program is refused each of them")
+def _(context):
+    assert context.taken == [], context.taken
+
+
+@then("the cluster comes up")
+def _(context):
+    context.cluster.__enter__()
+
+
+def _take(port):
+    """Tell whether a program that shares no port is given this one."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError as refused:
+            assert refused.errno == errno.EADDRINUSE, refused
+            return False
+    return True
+
+
 def _share(context, **options):
     if "cluster" not in context.holder:
         made = cluster.Cluster(**options)
