Hold an engine's datagram port until the engine takes it

Cause: the harness let go of each datagram port as soon as the system had named it, so that another program, or a second engine of the same cluster, could be given it before the engine started. That engine then ends with "Address already in use" before it listens for its agent, its box refuses connections for good, and no wait brings layout 1 to all engines. That this is what one run of "A rebalance levels the ranks of a hot group" met is likely and not proved: its message and its agents' lines are the same, the logs of its engines are not kept.

By reading: a refused connection fails at once and a turn comes again after 0.2 s, a lease lapses after 2.1 s, and the 20 s and 30 s that an order may take pass only at an engine that took the connection and then stood still.

Change: datagram ports stay bound too. The holder's socket may share its address only once its port is given, and is connected to itself, so it gets none of the engine's datagrams; the engine shares the port.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -325,7 +325,10 @@
     """Serve until killed."""
     settings = web.arguments()
     engine = Engine(settings)
-    reactor.listenUDP(settings["udp"], engine, interface="127.0.0.1")
+    # Whoever started this holds the port until then, so it is shared.
+    reactor.listenMulticast(
+        settings["udp"], engine, interface="127.0.0.1", listenMultiple=True
+    )
     web.serve(engine.handle, settings["port"])
     reactor.run()
 
--- a/standins/process.py
+++ b/standins/process.py
@@ -22,19 +22,31 @@
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Return a port that the system says is free.
 
-    A TCP port stays bound here until release_ports, so that no outgoing
-    connection is given it meanwhile; a listener that may reuse an address
-    can still take it.
+    The port stays bound here until release_ports, so that nobody is given
+    it meanwhile: no outgoing connection, no other program that asks for a
+    port, and no second caller of this.  A listener that may reuse an
+    address can still take it.
     """
     sock = socket.socket(socket.AF_INET, kind)
+    _HELD.append(sock)
     if kind == socket.SOCK_STREAM:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        _HELD.append(sock)
     sock.bind(("127.0.0.1", 0))
-    port = sock.getsockname()[1]
-    if kind != socket.SOCK_STREAM:
-        sock.close()
-    return port
+    if kind == socket.SOCK_DGRAM:
+        _share_datagrams(sock)
+    return sock.getsockname()[1]
+
+
+def _share_datagrams(sock: socket.socket) -> None:
+    """Let a listener take a held datagram port, and all that comes there.
+
+    Of sockets that may reuse an address the system may give two the same
+    free port, so this is set only once the port is given.  A connected
+    socket takes datagrams of its peer alone; this one is its own peer and
+    sends none, so all of them are the listener's.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.connect(sock.getsockname())
 
 
 def release_ports() -> None:
