Name the process that ended while a cluster is set up

Cause: a set-up of which an engine had ended waited until its time was over and said only that layout 1 was not at all engines; the one such failure that was seen could not be traced.

Change: while a set-up waits for the first layout it ends as soon as a process has ended, and names it. Waits of scenarios, which kill processes, are as before.

--- a/features/product.feature
+++ b/features/product.feature
@@ -61,3 +61,8 @@
     When another program asks for the datagram ports of its engines
     Then the program is refused each of them
     And the cluster comes up
+
+  Scenario: A set-up names the engine that has ended
+    Given a cluster with engines 2 that is laid out and not started
+    When one of its engines cannot start
+    Then the cluster does not come up, and says which process has ended
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -56,6 +56,22 @@
     context.cluster.__enter__()
 
 
+@when("one of its engines cannot start")
+def _(context):
+    context.ended = f"engine-{context.cluster.engines[0][0]}"
+    (context.cluster.dir / f"{context.ended}.json").unlink()
+
+
+@then("the cluster does not come up, and says which process has ended")
+def _(context):
+    try:
+        context.cluster.__enter__()
+    except (RuntimeError, TimeoutError) as failed:
+        assert f"{context.ended} has ended" in str(failed), failed
+    else:
+        raise AssertionError("the cluster came up")
+
+
 def _take(port):
     """Tell whether a program that shares no port is given this one."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -375,15 +375,28 @@
     def wait_layout(self, version: int, seconds: float = 20.0) -> None:
         """Wait until all engines are on a layout."""
         wait_for(
-            lambda: set(self.layouts().values()) == {version},
+            lambda: self._on_layout(version),
             f"layout {version} at all engines",
             seconds,
         )
 
+    def _on_layout(self, version: int) -> bool:
+        return set(self.layouts().values()) == {version}
+
+    def _check_running(self) -> None:
+        """Raise if a process has ended: what waits for it waits in vain."""
+        for name, process in self.processes.items():
+            if not process.running:
+                raise RuntimeError(f"{name} has ended")
+
+    def _first_layout(self) -> bool:
+        self._check_running()
+        return self._on_layout(1)
+
     def wait_serving(self) -> None:
         """Wait until every entry can serve every target."""
         if self.engines:
-            self.wait_layout(1, START_S)
+            wait_for(self._first_layout, "layout 1 at all engines", START_S)
         for entry, _ in self.entries:
             if self.engines:
                 wait_for(
