Let connections at rest make room for new callers

Cause: an entry at its limit of descriptors accepts a connection and closes it at once, without a word, while its descriptors are held by connections on which nothing is in progress, until their idle time-out of 15 s. It says ready all the while.

Change: callers' connections may take half of the descriptors that the platform and the system allow (new setting "descriptors", filled in from the platform's limits); at the limit, the one that has been at rest for longest and has nothing left to send is closed to make room, at once. A line says when callers reach the limit. A request in progress is never cut for it.

Hard refusals remain when all of the half is at work.

--- a/features/platform_clients.py
+++ b/features/platform_clients.py
@@ -5,11 +5,14 @@
 
 import http.client
 import json
+import threading
 import time
 
 import httpx
 import hypothesis
 
+from standins import process
+
 # The same cases in every run, with no time limit of its own: each asks
 # processes that other work may slow down.
 GENERATED = hypothesis.settings(
@@ -26,6 +29,33 @@
 }
 
 
+class Streams:
+    """Clients that stream in threads of their own."""
+
+    def __init__(self, made, count):
+        self.texts = []
+        self.count = count
+        self._threads = [
+            threading.Thread(target=self._run, args=(made,))
+            for _ in range(count)
+        ]
+        for thread in self._threads:
+            thread.start()
+        process.wait_for(
+            lambda: len(made.ledger("llm")) >= count, "streams to begin"
+        )
+
+    def _run(self, made):
+        answer = broken_off(lambda: made.ask("/chat/slow"))
+        self.texts.append(answer.text if answer else None)
+
+    def wait(self):
+        """Wait until all have ended; return their texts."""
+        for thread in self._threads:
+            thread.join(30)
+        return self.texts
+
+
 def send(conn, headers, path, body=b"once", method="POST"):
     """Send a request on a connection just as it is, and read nothing."""
     conn.putrequest(method, path, skip_host=True, skip_accept_encoding=True)
--- a/features/steps/platform_names_steps.py
+++ b/features/steps/platform_names_steps.py
@@ -38,6 +38,7 @@
     "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
     "platform.addr": "10.200.1.7:8223",
     "bounds.grace_s": 8,
+    "limits.max_fds": 4200,
     "bounds.retry_ratio": 0.2,
 }
 
@@ -104,3 +105,4 @@
         read = settings.read(file.name, role="entry")
     assert read.name == "front-a-1"
     assert read.usage == "10.1.0.40:7340"
+    assert read.descriptors == 4200
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -6,7 +6,6 @@
 import json
 import signal
 import socket
-import threading
 import time
 
 from behave import given, then, when
@@ -15,33 +14,6 @@
 from standins import fleet, process
 
 
-class Streams:
-    """Clients that stream in threads of their own."""
-
-    def __init__(self, made, count):
-        self.texts = []
-        self.count = count
-        self._threads = [
-            threading.Thread(target=self._run, args=(made,))
-            for _ in range(count)
-        ]
-        for thread in self._threads:
-            thread.start()
-        process.wait_for(
-            lambda: len(made.ledger("llm")) >= count, "streams to begin"
-        )
-
-    def _run(self, made):
-        answer = clients.broken_off(lambda: made.ask("/chat/slow"))
-        self.texts.append(answer.text if answer else None)
-
-    def wait(self):
-        """Wait until all have ended; return their texts."""
-        for thread in self._threads:
-            thread.join(30)
-        return self.texts
-
-
 @given(
     "a fleet of its own that keeps connections for {seconds:d} s when it stops"
 )
@@ -64,7 +36,7 @@
     context.kept = made.connect()
     clients.send(context.kept, made.headers(), "/push/x")
     assert context.kept.getresponse().read()
-    context.streams = Streams(made, count)
+    context.streams = clients.Streams(made, count)
     made.processes["f1"].signal(signal.SIGTERM)
     context.stopped_at = time.monotonic()
 
@@ -153,7 +125,7 @@
 )
 def _(context, count):
     made = context.cluster
-    context.streams = Streams(made, count)
+    context.streams = clients.Streams(made, count)
     data, path = clients.settings_file(made, "f1")
     path.write_text(json.dumps({**data, "retry_ratio": 0.3}))
     made.processes["f1"].signal(signal.SIGHUP)
--- a/packages/reelscale-core/src/reelscale_core/settings.py
+++ b/packages/reelscale-core/src/reelscale_core/settings.py
@@ -57,6 +57,7 @@
     health: str
     usage: str
     grace: timedelta
+    descriptors: int
     retry_ratio: float
     log_json: bool
     test_controls: bool
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -92,6 +92,7 @@
                 given=self._parts, surface=self._adapter.surface
             ),
             body_bytes=settings.body_bytes,
+            most_connections=site.limit_of_connections(settings.descriptors),
         )
         self._connect()
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/ingress.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/ingress.py
@@ -77,7 +77,12 @@
     """Takes callers' connections."""
 
     def __init__(
-        self, *, reactor: Any, resource: resource.Resource, body_bytes: int
+        self,
+        *,
+        reactor: Any,
+        resource: resource.Resource,
+        body_bytes: int,
+        most_connections: int,
     ) -> None:
         self._limits = route.Limits()
         super().__init__(
@@ -85,6 +90,7 @@
             reactor=reactor,
             idle_timeout_s=self._limits.idle_timeout_s,
             request_class=_request_class(self, body_bytes),
+            most_connections=most_connections,
         )
 
     def make_channel(self) -> Channel:
--- a/packages/reelscale-daemon/src/reelscale_daemon/site.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/site.py
@@ -1,5 +1,8 @@
 """HTTP servers that know their connections and can close them in order.
 
+At their limit of connections they close those that rest for longest, so that
+new callers are always taken.
+
 twisted.web forgets a request once its last piece is in the buffer of the
 connection.  A stop must wait for more than that: until the bytes have left
 the process, which a connection that was closed in order shows by its end.
@@ -8,14 +11,36 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import resource as rlimit
 from typing import Any
 
 from reelscale_wire import outgoing
+from twisted.internet import error
+from twisted.python import failure
 from twisted.web import http, resource, server
 
 from . import logs
 
 LOG = logs.Part("site")
+# Of the descriptors of a process, callers' connections may take this part;
+# each request in progress takes another one towards its upstream, and peers,
+# the log and probes need some.
+CALLERS_SHARE = 0.5
+# Below this part of the limit there is room again.
+ROOMY = 0.9
+
+
+def limit_of_connections(descriptors: int = 0) -> int:
+    """Return how many connections callers may hold.
+
+    Args:
+      descriptors: Descriptors that the platform allows the process, 0 if it
+        states none; what the system allows counts if that is less.
+    """
+    allowed, _ = rlimit.getrlimit(rlimit.RLIMIT_NOFILE)
+    if descriptors:
+        allowed = min(allowed, descriptors)
+    return max(1, int(allowed * CALLERS_SHARE))
 
 
 class Channel(http.HTTPChannel):
@@ -34,6 +59,7 @@
         """Note the connection."""
         super().connectionMade()
         self.factory.connections.add(self)
+        self.factory.note_rest(self)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Forget the connection; say if an answer that had ended is cut.
@@ -41,6 +67,7 @@
         No other line would: the log has the request as answered.
         """
         self.factory.connections.discard(self)
+        self.factory.note_work(self)
         if self.unsent_bytes and not self.requests:
             LOG.warning(
                 "A connection ended before its last answer had left.",
@@ -54,6 +81,7 @@
         """Take bytes; from the first on, a request is in progress."""
         if not self.requests:
             self._reading = True
+        self.factory.note_work(self)
         super().dataReceived(data)
 
     def allContentReceived(self) -> None:  # noqa: N802
@@ -64,6 +92,8 @@
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """End a request; its connection as well, if the site closes."""
         super().requestDone(request)
+        if self.idle:
+            self.factory.note_rest(self)
         self.close_if_idle()
 
     def close_if_idle(self) -> None:
@@ -74,6 +104,14 @@
         if self.factory.closing and self.idle:
             self.loseConnection()
 
+    def close_now(self) -> None:
+        """Close a connection on which nothing rests to be sent.
+
+        A usual close gives its descriptor back in the next turn of the loop,
+        too late where one turn takes many new connections.
+        """
+        self.transport.connectionLost(failure.Failure(error.ConnectionDone()))
+
     @property
     def idle(self) -> bool:
         """Whether no request, not even a part of one, is in progress."""
@@ -92,6 +130,7 @@
       connections: The connections that are open.
       draining: Whether every answer ends its connection.
       closing: Whether connections are closed once they are idle.
+      most_connections: With so many, one at rest makes room for a new one.
     """
 
     def __init__(
@@ -101,9 +140,14 @@
         reactor: Any = None,
         idle_timeout_s: float,
         request_class: Any = None,
+        most_connections: int | None = None,
     ) -> None:
         super().__init__(resource, reactor=reactor, timeout=idle_timeout_s)
         self.connections: set[Channel] = set()
+        self.most_connections = most_connections or limit_of_connections()
+        # Those at rest, the one that rests for longest first.
+        self._resting: dict[Channel, None] = {}
+        self._crowded = False
         self.draining = False
         self.closing = False
         self.displayTracebacks = False
@@ -112,7 +156,9 @@
             self.requestFactory = request_class
 
     def buildProtocol(self, address: Any) -> Channel:  # noqa: N802
-        """Return the protocol of a new connection."""
+        """Return the protocol of a new connection; make room for it."""
+        if len(self.connections) >= self.most_connections:
+            self._make_room()
         made = self.make_channel()
         made.factory = self
         made.site = self
@@ -125,6 +171,35 @@
         """Return a channel that knows nothing yet."""
         return Channel()
 
+    def note_rest(self, channel: Channel) -> None:
+        """Note that nothing is in progress on a connection."""
+        self._resting[channel] = None
+
+    def note_work(self, channel: Channel) -> None:
+        """Note that something is in progress on a connection, or its end."""
+        self._resting.pop(channel, None)
+        if len(self.connections) < self.most_connections * ROOMY:
+            self._crowded = False
+
+    def _make_room(self) -> None:
+        """Close the connection that has been at rest for longest.
+
+        Its caller opens another when it needs one; a new caller that finds
+        no descriptor left would be turned away without a word.
+        """
+        free = (c for c in self._resting if not c.unsent_bytes)
+        resting = next(free, None)
+        if not self._crowded:
+            self._crowded = True
+            LOG.warning(
+                "Callers hold as many connections as they may.",
+                connections=len(self.connections),
+                resting=len(self._resting),
+            )
+        if resting is not None:
+            self.note_work(resting)
+            resting.close_now()
+
     def log(self, request: Any) -> None:
         """Write no access log; the daemon logs what it decides."""
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -53,6 +53,7 @@
         ),
         slots: int = 6,
         settings: dict[str, Any] | None = None,
+        descriptors: int | None = None,
     ) -> None:
         """Lay a fleet out.
 
@@ -61,6 +62,7 @@
           workers: Service and hall of each worker.
           slots: Requests that a worker works on at once.
           settings: Settings of the entries beside the usual.
+          descriptors: Descriptors that an entry may have.
         """
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="reelscale-fleet-"))
         self.processes: dict[str, Process] = {}
@@ -76,6 +78,7 @@
         self._usage_port = free_port(socket.SOCK_DGRAM)
         self._store = f"127.0.0.1:{free_port()}"
         self._settings = settings or {}
+        self._descriptors = descriptors
         port = int(self._store.rsplit(":", 1)[1])
         self._add_stand_in("store", "store", {"port": port})
         for number, (service, hall) in enumerate(workers):
@@ -130,6 +133,7 @@
             **self._settings,
         }
         self._add(name, [str(BIN / "reelscaled"), "entry"], data)
+        self.processes[name].descriptors = self._descriptors
 
     def _add_stand_in(self, name: str, module: str, data: dict) -> None:
         self._add(name, [sys.executable, "-m", f"standins.{module}"], data)
--- a/standins/process.py
+++ b/standins/process.py
@@ -5,6 +5,7 @@
 
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -75,9 +76,23 @@
     """One process of the cluster."""
 
     def __init__(
-        self, name: str, command: list[str], log: pathlib.Path
+        self,
+        name: str,
+        command: list[str],
+        log: pathlib.Path,
+        *,
+        descriptors: int | None = None,
     ) -> None:
+        """Lay a process out.
+
+        Args:
+          name: Its name in the cluster.
+          command: The program and its arguments.
+          log: File that its output is added to.
+          descriptors: Descriptors that it may have, as many as usual if None.
+        """
         self.name = name
+        self.descriptors = descriptors
         self.command = command
         self.log = log
         self.popen: subprocess.Popen | None = None
@@ -92,6 +107,9 @@
                 cwd=ROOT,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
+        if self.descriptors is not None:
+            limits = (self.descriptors, self.descriptors)
+            resource.prlimit(self.popen.pid, resource.RLIMIT_NOFILE, limits)
 
     def signal(self, number: int) -> None:
         """Send a signal, if it runs."""
