Show that retries go again to an upstream that is gone, three tests

Cause: an attempt that lost its upstream may choose that one again, as routing takes an upstream already tried where no other has a slot free. Until the circuit opens at the fifth failure, the grant of a killed agent still counts. Four attempts fail within milliseconds, though another upstream will have room: a request that was never sent is refused as not-run, and a stream that has begun breaks off. Each of these attempts also takes a retry from the budget that all share.

--- a/features/failure.feature
+++ b/features/failure.feature
@@ -24,6 +24,22 @@
     When 24 callers stream 200 tokens while an agent is killed
     Then every stream is whole and its caller's own
 
+  Scenario: A stream that lost its upstream waits for one that is full
+    Given a cluster of its own of one entry and two engines with 1 slots
+    When 2 callers stream 300 tokens while an agent is killed
+    Then every stream is whole and its caller's own
+
+  Scenario: A request waits for a full upstream, not for one that is gone
+    Given a cluster of its own of one entry and two engines with 1 slots
+    When a caller streams 300 tokens and another asks as the free agent dies
+    Then every stream is whole and its caller's own
+
+  Scenario: Streams that had not begun cost one retry each, and no more
+    Given a cluster of its own of one entry and two engines with 16 slots
+    When 32 callers ask an engine that stands and its agent is killed
+    Then as many as the budget for retries holds go on elsewhere
+    And the others are told that it is unknown, with Retry-After
+
   Scenario: A caller of a killed entry sees a broken stream, not a short one
     Given a cluster of its own with services 0
     When 6 callers stream 300 tokens through an entry that is killed
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -83,6 +83,14 @@
     return True
 
 
+@given(
+    "a cluster of its own of one entry and two engines with {slots:d} slots"
+)
+def _(context, slots):
+    # With one entry, no other has a part of the grants.
+    _own(context, halls=("a",), engines=2, services=0, slots=slots)
+
+
 def _share(context, **options):
     if "cluster" not in context.holder:
         made = cluster.Cluster(**options)
--- /dev/null
+++ b/features/steps/gone_upstream_steps.py
@@ -0,0 +1,98 @@
+"""Steps that kill the agent of an upstream before a stream has begun."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import threading
+
+from behave import then, when
+from reelscale_core import retry
+
+from standins import cluster, load
+
+TOKENS = 200
+
+
+def _start(context, tokens, begun):
+    """Start a thread that streams through the only entry."""
+    made = context.cluster
+    entry = made.entries[0][0]
+
+    def run():
+        told = load.stream(made, entry, tokens, on_first=begun.append)
+        context.told.append(told)
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    return thread
+
+
+def _running(made, name):
+    """Return how many attempts run at an agent."""
+    text = made.client.get(f"{made.http[name]}/metrics").text
+    for line in text.splitlines():
+        if line.startswith("reelscale_running "):
+            return int(float(line.split()[-1]))
+    raise AssertionError("the agent has no such gauge")
+
+
+def _fill_budget(made):
+    """Ask often enough that the entry may make all its retries."""
+    for _ in range(round(retry.INITIAL / retry.RATIO)):
+        made.complete(made.entries[0][0], tokens=1).raise_for_status()
+
+
+@when(
+    "a caller streams {tokens:d} tokens and another asks as the free agent "
+    "dies"
+)
+def _(context, tokens):
+    made = context.cluster
+    context.told = []
+    begun = []
+    threads = [_start(context, tokens, begun)]
+    cluster.wait_for(lambda: begun, "the stream to begin")
+    (free,) = [name for name, _ in made.engines if not _running(made, name)]
+    made.processes[free].kill()
+    threads.append(_start(context, tokens, begun))
+    for thread in threads:
+        thread.join(60)
+
+
+@when("{count:d} callers ask an engine that stands and its agent is killed")
+def _(context, count):
+    made = context.cluster
+    names = [name for name, _ in made.engines]
+    _fill_budget(made)
+    context.told = []
+    # The engines step together, so that none gives a token now.
+    made.processes[f"engine-{names[0]}"].freeze()
+    threads = [_start(context, TOKENS, []) for _ in range(count)]
+    cluster.wait_for(
+        lambda: sum(_running(made, name) for name in names) == count,
+        "all streams to be sent",
+    )
+    context.lost = _running(made, names[0])
+    made.processes[names[0]].kill()
+    made.processes[f"engine-{names[0]}"].thaw()
+    for thread in threads:
+        thread.join(60)
+
+
+@then("as many as the budget for retries holds go on elsewhere")
+def _(context):
+    counts = load.outcomes(context.told)
+    assert context.lost > retry.INITIAL, context.lost
+    kept = len(context.told) - context.lost + int(retry.INITIAL)
+    assert counts.get("ran", 0) == kept, (context.lost, counts)
+    assert all(row.right for row in context.told)
+
+
+@then("the others are told that it is unknown, with Retry-After")
+def _(context):
+    counts = load.outcomes(context.told)
+    over = context.lost - int(retry.INITIAL)
+    assert counts.get("unknown", 0) == over, (context.lost, counts)
+    unknown = [row for row in context.told if row.outcome == "unknown"]
+    assert all(row.status == 502 for row in unknown), unknown
+    assert all(row.retry_after for row in unknown), unknown
