Wait for a full upstream instead of trying one that is gone again

Cause: the grant of a killed agent counts until it lapses, after 2 s, and routing takes an upstream already tried where no other has a slot free. So a request whose upstream was gone went there again, four times within milliseconds, and was refused as not-run, or broke off if it had begun; each time took a retry from the budget that all share. The circuit opens at the fifth failure, so that the next such request waits. Ruled out: the budget for retries as the cause of that one refusal. Four attempts of one stream cost three of ten; and streams that an agent had admitted and the budget can't send on are told unknown (502), not not-run. Change: where no connection to an agent can be opened, its grant no longer counts until it answers a heartbeat; what needs a slot waits for another upstream. The budget is as it was, and the platform's path isn't touched.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
@@ -30,6 +30,8 @@
 WARM_S = 5.0
 IDLE_EVERY_S = 20.0
 HEARTBEAT_TIMEOUT_S = 1.5
+# Monotonic seconds of what has not happened.
+NEVER = float("-inf")
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -39,7 +41,8 @@
     Attributes:
       upstream: Its configuration.
       pulse: The newest answer of its agent.
-      heard_at: Monotonic seconds just before that answer was asked for.
+      heard_at: Monotonic seconds just before that answer was asked for, or
+        NEVER if its grant no longer counts.
       own: Requests of this entry in progress there.
       own_reported: Those in progress when the pulse was asked for.
       breaker: Its circuit breaker.
@@ -52,12 +55,12 @@
 
     upstream: model.Upstream
     pulse: ttypes.Pulse | None = None
-    heard_at: float = float("-inf")
+    heard_at: float = NEVER
     own: int = 0
     own_reported: int = 0
     breaker: circuit.Circuit = circuit.CLOSED
-    used_at: float = float("-inf")
-    asked_at: float = float("-inf")
+    used_at: float = NEVER
+    asked_at: float = NEVER
     beating: defer.Deferred | None = None
     tie: int = 0
     heat: Sequence[int] = ()
@@ -184,6 +187,16 @@
         if view is not None and view.pulse is not None:
             view.pulse.leaving = True
 
+    def note_unreachable(self, name: str) -> None:
+        """Send an upstream nothing until it answers a heartbeat again.
+
+        Its grant has not lapsed yet, but no connection to its agent could
+        be opened, so what is sent on that grant would be lost at once.
+        """
+        view = self.views_by_name.get(name)
+        if view is not None:
+            view.heard_at = NEVER
+
     def view(self, upstream: model.Upstream) -> View:
         """Return the view of an upstream, also outside the subset."""
         found = self.views_by_name.get(upstream.name)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
@@ -3,6 +3,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import contextlib
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
@@ -78,7 +79,7 @@
     asked.attempts.append(f"{name} ({reason})")
     given.metrics.attempts.inc({"upstream": name})
     to = given.links.to(address)
-    asked.on_left = lambda: defer.ensureDeferred(_cancel(to, attempt))
+    asked.on_left = lambda: defer.ensureDeferred(_stop(to, attempt))
     await _submit(asked, given, out, attempt, name, to)
     try:
         await _pull_all(asked, given, out, attempt, name, to)
@@ -87,7 +88,7 @@
         raise
     except AttemptLostError as lost:
         if not lost.not_run:
-            defer.ensureDeferred(_cancel(to, attempt))
+            defer.ensureDeferred(_stop(to, attempt))
         raise
 
 
@@ -131,12 +132,12 @@
     try:
         verdict = await to.call("submit", message, timeout_s=SUBMIT_TIMEOUT_S)
     except link.LinkError as lost:
-        given.note_failure(name)
+        _note_lost(given, name, lost)
         if not lost.written:
             raise AttemptLostError(
                 "unreachable", peer=name, not_run=True
             ) from lost
-        await _settle(to, attempt, name, known)
+        await _settle(given, to, attempt, name, known)
         return
     if verdict.kind == KINDS.ADMITTED:
         return
@@ -151,29 +152,56 @@
     )
 
 
-async def _settle(to: link.Link, attempt: str, name: str, known: str) -> None:
+def _note_lost(given: parts.Parts, name: str, lost: link.LinkError) -> None:
+    """Count a failure of an upstream whose agent did not answer."""
+    given.note_failure(name)
+    _note_unreachable(given, name, lost)
+
+
+def _note_unreachable(
+    given: parts.Parts, name: str, lost: link.LinkError
+) -> None:
+    """Stop sending to an upstream to which no connection could be opened.
+
+    Else the next attempt could choose it again, when no other has a slot
+    free, and fail at once instead of waiting for a slot.
+    """
+    if not lost.written:
+        given.membership.note_unreachable(name)
+
+
+async def _settle(
+    given: parts.Parts, to: link.Link, attempt: str, name: str, known: str
+) -> None:
     """Find out what became of an attempt whose answer was lost.
 
     Only the same incarnation of the agent can prove that it did not run:
     a new one has forgotten what its forerunner ran.
     """
-    verdict = await _cancel(to, attempt)
-    if verdict is None:
-        raise AttemptLostError("agent-lost", peer=name, not_run=False)
+    try:
+        verdict = await _cancel(to, attempt)
+    except link.LinkError as lost:
+        _note_unreachable(given, name, lost)
+        raise AttemptLostError(
+            "agent-lost", peer=name, not_run=False
+        ) from lost
     same = bool(known) and verdict.incarnation == known
     proved = same and verdict.kind == KINDS.REFUSED
     raise AttemptLostError("agent-lost", peer=name, not_run=proved)
 
 
-async def _cancel(to: link.Link, attempt: str) -> ttypes.Verdict | None:
-    try:
-        return await to.call(
-            "cancel",
-            ttypes.Cancel(attempt=attempt),
-            timeout_s=CANCEL_TIMEOUT_S,
-        )
-    except link.LinkError:
-        return None
+async def _cancel(to: link.Link, attempt: str) -> ttypes.Verdict:
+    return await to.call(
+        "cancel",
+        ttypes.Cancel(attempt=attempt),
+        timeout_s=CANCEL_TIMEOUT_S,
+    )
+
+
+async def _stop(to: link.Link, attempt: str) -> None:
+    """Cancel an attempt for which nobody waits, if its agent can be told."""
+    with contextlib.suppress(link.LinkError):
+        await _cancel(to, attempt)
 
 
 def _message(
@@ -253,7 +281,7 @@
         except link.LinkError as lost:
             late = given.clock.monotonic() > started + RELINK_S
             if lost.refused or late:
-                given.note_failure(name)
+                _note_lost(given, name, lost)
                 raise AttemptLostError(
                     "agent-lost", peer=name, not_run=False
                 ) from lost
