Keep what a holder knows of ranks that hold nothing

Ruled out: that a kept rank may be out of date: it was not asked in this round, and only this holder's orders bring it to hold anything; a rank that was sent one and gave no answer is not kept, as before. The variants of the lockstep model with a rule taken out are still found.

Change: a newly lost rank makes the holder forget the running ones only.

Before: the holder asked for ever.

--- a/packages/reelscale-core/src/reelscale_core/schedule.py
+++ b/packages/reelscale-core/src/reelscale_core/schedule.py
@@ -48,8 +48,10 @@
     """Take the replies of one round into what a holder knows.
 
     A rank that is newly seen to have lost everything makes all that was
-    heard of the others worthless: it may be from before the loss, since
-    when the group has gone on.  They are asked again.
+    heard of the running ones worthless: it may be from before the loss, since
+    when the group has gone on.  They are asked again.  Ranks known to hold
+    nothing, and not asked in this round, still hold nothing: only an order of
+    this holder could have changed that.
 
     Args:
       seen: Newest state of each member, from earlier rounds.
@@ -61,9 +63,10 @@
         for name, rank in fresh.items()
         if rank.version == 0 and not _same_loss(seen.get(name), rank)
     }
-    if lost:
-        return lost
     kept = {name: rank for name, rank in seen.items() if name not in replies}
+    if lost:
+        blank = {name: r for name, r in kept.items() if r.version == 0}
+        return {**blank, **lost}
     return {**kept, **fresh}
 
 
