Have the store's stand-in answer 503 when it is busy

Cause: it returned bytes where its server writes JSON, so a store that is "busy" answered 500 with a traceback in its log; a test of a trial showed it.

Ruled out: that the product told the two apart: it takes any status but 200 for an outage here.

Change: the stand-in answers 503, as it says.

--- a/standins/store.py
+++ b/standins/store.py
@@ -101,8 +101,7 @@
     def refuse(self, request: Any) -> Any:
         """Be down, in the way that was set."""
         if self.down == "busy":
-            request.setResponseCode(503)
-            return b""
+            web.finish(request, {}, 503)
         if self.down == "reset":
             request.transport.abortConnection()
         return server.NOT_DONE_YET
