Test that the work on a request ends with its caller

Cause looked for: what becomes of a request whose caller closes while it waits, is sent, is answered, goes on elsewhere or is not whole yet. Only a stream that was cut midway had a test, and none looked at the time.

A caller closes, half-closes or resets; 0.5 s later no worker may be at work on its request, and no head of it may have reached one later. The worker stand-in writes down when a head came, when a run began and when its caller left; it can send a head without events, break a stream off and be mute where it goes on, refuse when told to, and answer without end. The engine stand-in keeps the times of its completions too.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,6 +17,7 @@
 import hashlib
 import json
 import random
+import time
 from typing import Any
 
 from reelscale_core import lockstep, model, placement
@@ -32,6 +33,8 @@
 HOLD_S = 0.002
 HEAT_DECAY = 0.98
 EXPERTS_PER_TOKEN = 2
+# So many completions, the newest, stay in the ledger: a long run makes many.
+RUNS_KEPT = 1000
 
 
 def token(prompt: str, index: int) -> str:
@@ -60,6 +63,11 @@
         self.model = data.get("model", "")
         self.paused = False
         self.gone = False
+        self.row = {
+            "prompt": self.prompt,
+            "begun_at": time.monotonic(),
+            "left_at": None,
+        }
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Make no tokens: the reader is slow."""
@@ -121,6 +129,9 @@
         self.layouts: dict[int, model.Layout] = {}
         self.running: dict[Run, None] = {}
         self.queue: collections.deque[Run] = collections.deque()
+        self.runs: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=RUNS_KEPT
+        )
         self.done = -1
         self.done_by_name = dict.fromkeys(self.others, -1)
         self.counts_by_name: dict[str, list[int]] = {}
@@ -242,7 +253,11 @@
             case b"/orders":
                 return self.order(request)
             case b"/ledger":
-                return {"steps": self.ledger, "orders": self.orders}
+                return {
+                    "steps": self.ledger,
+                    "orders": self.orders,
+                    "runs": list(self.runs),
+                }
             case b"/skew":
                 rows = list(self.skews)
                 return {"mean": sum(rows) / len(rows) if rows else None}
@@ -255,6 +270,7 @@
     def complete(self, request: Any) -> Any:
         """Start a completion."""
         run = Run(request, web.body(request))
+        self.runs.append(run.row)
         request.notifyFinish().addErrback(lambda _: self.leave(run))
         request.setHeader(b"content-type", b"text/event-stream")
         request.registerProducer(run, True)
@@ -267,6 +283,7 @@
     def leave(self, run: Run) -> None:
         """Forget a request whose reader is gone."""
         run.gone = True
+        run.row["left_at"] = time.monotonic()
         if run in self.queue:
             self.queue.remove(run)
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,20 +2,23 @@
 
 A word of a request's path tells what the worker does wrong with it, such as
 "/chat/reset/1"; see FAULTS.  Any other word is answered as it should be, and
-a worker that is not "faulty" answers all so.  GET /ledger lists the runs.
+a worker that is not "faulty" answers all so.  GET /ledger lists the runs and
+what reached the worker at all, with monotonic times, which all processes of a
+machine share.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
 import h11
 from twisted.internet import protocol, reactor
 
-from . import web
+from . import flood, web
 
 EVENTS = 6
 EVENT_GAP_S = 0.01
@@ -35,6 +38,8 @@
         self.faulty = settings.get("faulty", True)
         self.runs: list[dict[str, Any]] = []
         self.cancelled: list[str] = []
+        self.reached: list[dict[str, Any]] = []
+        self.undecided: list[Channel] = []
         self.accepted = 0
         self.shed = 0
 
@@ -52,6 +57,7 @@
         self.http = h11.Connection(h11.SERVER)
         self.request: h11.Request | None = None
         self.body = b""
+        self.run: dict[str, Any] | None = None
         self.streaming = ""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -62,6 +68,7 @@
             match event:
                 case h11.Request():
                     self.request, self.body = event, b""
+                    self.note_reached()
                     if self.word() == "early":
                         self.early()
                         return
@@ -74,7 +81,9 @@
                     return
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
-        """Note the stream that its caller has left."""
+        """Note the run, and the stream, that its caller has left."""
+        if self.run is not None:
+            self.run["left_at"] = time.monotonic()
         if self.streaming:
             self.worker.cancelled.append(self.streaming)
 
@@ -97,6 +106,8 @@
             ledger = {
                 "runs": self.worker.runs,
                 "cancelled": self.worker.cancelled,
+                "reached": self.worker.reached,
+                "undecided": len(self.worker.undecided),
                 "accepted": self.worker.accepted,
                 "shed": self.worker.shed,
             }
@@ -105,6 +116,8 @@
         if path == "/control":
             data = json.loads(self.body or b"{}")
             self.worker.faulty = data.get("faulty", self.worker.faulty)
+            if data.get("shed"):
+                self.shed_undecided()
             self.whole(b"{}")
             return
         wanted = self.header("expect-instance")
@@ -112,7 +125,7 @@
             self.head(421, [("Instance-Id", self.worker.id)], b"")
             return
         act = FAULTS.get(self.word())
-        if self.word() != "shed":
+        if self.word() not in NOT_RUN:
             self.note_run()
         if act is not None:
             act(self)
@@ -121,21 +134,38 @@
         else:
             self.whole(self.text())
 
+    def note_reached(self) -> None:
+        """Write down that the head of a request is here."""
+        if self.request.target not in OWN_PATHS:
+            row = {"id": self.header("request-id"), "at": time.monotonic()}
+            self.worker.reached.append(row)
+
+    def shed_undecided(self) -> None:
+        """Refuse the requests on which nothing was decided yet."""
+        undecided, self.worker.undecided = self.worker.undecided, []
+        for channel in undecided:
+            _shed(channel)
+
     def note_run(self) -> None:
-        """Write the request into the ledger."""
-        self.worker.runs.append(
-            {
-                "id": self.header("request-id"),
-                "method": self.request.method.decode(),
-                "path": self.request.target.decode(),
-                "body": self.body.decode("latin-1"),
-                "headers": {
-                    name.decode(): value.decode()
-                    for name, value in self.request.headers
-                },
-                "by": self.worker.id,
-            }
-        )
+        """Write the request into the ledger.
+
+        "left_at" is set where its caller goes before the whole answer is
+        written.
+        """
+        self.run = {
+            "id": self.header("request-id"),
+            "method": self.request.method.decode(),
+            "path": self.request.target.decode(),
+            "body": self.body.decode("latin-1"),
+            "headers": {
+                name.decode(): value.decode()
+                for name, value in self.request.headers
+            },
+            "by": self.worker.id,
+            "begun_at": time.monotonic(),
+            "left_at": None,
+        }
+        self.worker.runs.append(self.run)
 
     def text(self) -> bytes:
         """Return the answer's body."""
@@ -172,6 +202,7 @@
         rest = self.http.trailing_data[0]
         self.http = h11.Connection(h11.SERVER)
         self.request = None
+        self.run = None
         if rest:
             self.dataReceived(rest)
 
@@ -241,6 +272,35 @@
     channel.head(503, [("Not-Executed", "1")], b"")
 
 
+def _undecided(channel: Channel) -> None:
+    """Say nothing until the worker is told to refuse."""
+    channel.worker.undecided.append(channel)
+
+
+def _headed(channel: Channel) -> None:
+    """Send the head of a stream and no event of it."""
+    more = [
+        ("Content-Type", "text/event-stream"),
+        ("Transfer-Encoding", "chunked"),
+    ]
+    channel.transport.write(channel.head_lines(200, more))
+
+
+def _cut_mute(channel: Channel) -> None:
+    """Break a stream off, and say nothing where it is to go on."""
+    if not channel.header("last-event-id"):
+        channel.stream(last=3, end=_abort)
+
+
+def _flood(channel: Channel) -> None:
+    """Answer without end, as fast as the caller reads."""
+    events = channel.request.target.startswith(b"/chat")
+    kind = "text/event-stream" if events else "application/json"
+    more = [("Content-Type", kind), ("Transfer-Encoding", "chunked")]
+    channel.transport.write(channel.head_lines(200, more))
+    flood.Flood(channel.transport, channel.run, events=events).start()
+
+
 def _torn(channel: Channel) -> None:
     """End partway through an event."""
     channel.transport.write(b"8\r\nid: 4\nda\r\n")
@@ -300,8 +360,12 @@
     channel.transport.write(b"\x00\x01 no HTTP at all\r\n\r\n")
 
 
+# Paths by which tests ask a worker, and words that are no runs.
+OWN_PATHS = (b"/ledger", b"/control")
+NOT_RUN = ("shed", "undecided")
 FAULTS: dict[str, Callable[[Channel], None]] = {
     "shed": _shed,
+    "undecided": _undecided,
     "early": Channel.early,
     "error": lambda channel: channel.head(500, [], channel.text()),
     "reset": _abort,
@@ -313,7 +377,10 @@
     "unframed-reset": _unframed_reset,
     "foreign": _foreign,
     "garbage": _garbage,
+    "headed": _headed,
+    "flood": _flood,
     "cut": lambda channel: channel.stream(last=3, end=_abort),
+    "cut-mute": _cut_mute,
     "torn": lambda channel: channel.stream(last=3, end=_torn),
     "gap": lambda channel: channel.stream(ids=lambda n: n if n < 3 else n + 1),
     "slow": lambda channel: channel.stream(gap_s=0.4),
