End the opening of a connection at the end of the grace time

Cause: a request whose upstream is being connected has nothing that a stop could end, so it got no answer; if the connection opened in the last 0.3 s the request was even sent, with 1 ms left.

Ruled out: that the upstream may run it: an opening that is given up has sent nothing, so the answer is 503, not run.

Change: the end of the grace time cancels the opening, as the caller's leaving has since; neither counts as a failure of the upstream.

--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -57,23 +57,25 @@
     """Return a connection to an upstream, an idle one if that will do.
 
     Raises:
-      AttemptLostError: None could be opened.
+      AttemptLostError: None could be opened, or a stop ended the opening.
       CallerLeftError: The caller has gone; its opening is given up at once.
     """
     opening = defer.ensureDeferred(_acquire(asked, given, upstream))
     asked.on_left = opening.cancel
+    asked.on_expire = lambda _code: opening.cancel()
     try:
         conn = await opening
     except connection.ExchangeError as lost:
         if asked.left:
-            # That an opening was given up says nothing of the upstream.
             raise writer.CallerLeftError from lost
-        given.note_failure(upstream.name)
+        # That an opening was given up says nothing of the upstream.
+        if given.left_s(asked) > 0:
+            given.note_failure(upstream.name)
         raise attempt.AttemptLostError(
             lost.code, peer=upstream.name, not_run=True
         ) from lost
     finally:
-        asked.on_left = None
+        asked.on_left = asked.on_expire = None
     if asked.left:
         given.connections.release(conn)
         raise writer.CallerLeftError
@@ -132,8 +134,7 @@
 
 def _end(sent: direct_answer.Sent, timer: Any) -> None:
     """Stop the clock of an attempt and keep its connection if it is good."""
-    sent.asked.on_left = None
-    sent.asked.on_expire = None
+    sent.asked.on_left = sent.asked.on_expire = None
     if timer.active():
         timer.cancel()
     if sent.conn.usable:
