Show what a stopping agent leaves behind

Cause: an agent's stop takes a call for done once it was handed over. A holder's work ends though its order to hold the group had no answer; the lease is left while a renewal is on its way, and a join that is carried out after the leave gives it to an agent that has gone; the wait for the holder's work has no limit, so that neither the lease nor the connections may get their turn.

Change: five scenarios, on the parts themselves with a clock that the test moves.

--- /dev/null
+++ b/features/steps/agent_stop_steps.py
@@ -0,0 +1,293 @@
+"""Steps on an agent that stops while a call of its own is on its way."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import datetime
+import math
+import sys
+import types
+from unittest import mock
+
+from behave import given, then, when
+from reelscale_core import clock, rank
+from reelscale_daemon import process, rank_agent
+from reelscale_daemon.controllers import group, lease_keeper, told_ranks
+from twisted.internet import defer, task
+
+RANKS = ("r0", "r1")
+# What a stop keeps for its connections at least, in seconds, here: peers and
+# probes are answered within half of it.
+CLOSES_S = 0.5
+
+
+# The lease.
+
+
+class _Lease:
+    """A lease whose renewals are answered when a test says so."""
+
+    def __init__(self):
+        self.calls = []
+        self.renewals = []
+
+    def renew(self):
+        self.calls.append("renew")
+        self.renewals.append(defer.Deferred())
+        return self.renewals[-1]
+
+    async def leave(self):
+        self.calls.append("leave")
+
+    async def draw_fence(self):
+        return 1
+
+
+class _Own:
+    """A rank that is the first of a group at rest."""
+
+    async def tell(self, *, counts, experts):
+        found = types.SimpleNamespace(
+            size=4, number=0, prepared=None, held=None, open=True
+        )
+        found.epoch = found.step = 1
+        return types.SimpleNamespace(rank=found)
+
+
+class _Group:
+    """A group that does nothing."""
+
+    holds = False
+
+    async def learn_limits(self):
+        """Know the limits."""
+
+    def release(self):
+        """Do nothing."""
+
+    def take(self, fence, **_):
+        """Do nothing."""
+
+
+@given("a keeper of a lease whose renewal is on its way")
+def _(context):
+    context.clock, context.lease = task.Clock(), _Lease()
+    context.keeper = lease_keeper.LeaseKeeper(
+        reactor=context.clock,
+        clock=clock.FakeClock(),
+        lease=context.lease,
+        own=_Own(),
+        group=_Group(),
+        members=types.SimpleNamespace(following=False),
+    )
+    context.keeper.start()
+    context.clock.advance(lease_keeper.RELUCTANT_S)
+    assert context.lease.calls == ["renew"], context.lease.calls
+
+
+@when("the keeper is told to stop")
+def _(context):
+    context.stopped = defer.ensureDeferred(context.keeper.stop())
+
+
+@then("the lease is left only after the renewal has been answered")
+def _(context):
+    assert context.lease.calls == ["renew"], context.lease.calls
+    context.lease.renewals[0].callback(True)
+    context.clock.advance(lease_keeper.RENEW_S)
+    assert context.lease.calls == ["renew", "leave"], context.lease.calls
+
+
+# A change in progress at the stop of its holder.
+
+
+class _Ranks:
+    """Two ranks; one is not heard once, just after the group was held."""
+
+    def __init__(self):
+        self.by_name = {
+            name: rank.Rank("g", 1, number, 2, True, 5, 0, 9)
+            for number, name in enumerate(RANKS)
+        }
+        self.silent = 0
+        self.silent_looks = 1
+        self.on_hold = lambda: None
+        self.carry_out = self.by_name.__setitem__
+
+    async def ask_all(self):
+        if self.silent:
+            self.silent -= 1
+            return {"r0": self.by_name["r0"]}
+        return dict(self.by_name)
+
+    def choose(self, by_name, limits):
+        return told_ranks.Better((((0,), (1,)),), 2.0, 1.0, 1)
+
+    def note_in_use(self, by_name, wanted):
+        """Do nothing."""
+
+    async def order(self, member, order, *, fence, epoch):
+        """Carry an order out; the answer to the first hold is lost."""
+        found = self.by_name[member]
+        match order:
+            case rank.Prepare(version=version):
+                found = found._replace(prepared=version)
+            case rank.Hold(step=step):
+                found = found._replace(held=step)
+            case rank.Arm(version=version, step=step):
+                found = found._replace(armed=rank.Armed(version, step))
+            case rank.Go():
+                found = found._replace(held=None)
+        if isinstance(order, rank.Hold):
+            self.carry_out(member, found)
+            self.silent = self.silent_looks
+            self.on_hold()
+            return rank.Outcome.UNKNOWN, None
+        self.by_name[member] = found
+        return rank.Outcome.TAKEN, found
+
+
+class _Engines:
+    """Engines that allow anything."""
+
+    async def limits(self, target):
+        """Know no limit."""
+
+
+def _make_holder(context):
+    context.clock, context.ranks = task.Clock(), _Ranks()
+    members = types.SimpleNamespace(
+        own="r0", slots=4, by_name={name: name for name in RANKS}
+    )
+    context.group = group.Group(
+        reactor=context.clock,
+        reach=context.ranks,
+        ranks=context.ranks,
+        engines=_Engines(),
+        members=members,
+        target="g",
+    )
+
+
+@given(
+    "a holder whose order to hold the group is carried out but not answered"
+)
+def _(context):
+    _make_holder(context)
+
+
+@given(
+    "a holder whose order to hold the group is carried out {seconds:g} s late"
+)
+def _(context, seconds):
+    _make_holder(context)
+    made = context.ranks
+
+    def later(member, found):
+        context.clock.callLater(
+            seconds, made.by_name.__setitem__, member, found
+        )
+
+    made.carry_out = later
+
+
+@given("a holder whose order to hold the group is followed by silence")
+def _(context):
+    _make_holder(context)
+    context.ranks.silent_looks = math.inf
+
+
+@when("the holder is told to stop meanwhile")
+def _(context):
+    context.ranks.on_hold = context.group.stop
+    context.group.take(1)
+    context.ended = []
+    done = defer.ensureDeferred(context.group.run())
+    done.addBoth(context.ended.append)
+    done.addBoth(lambda _: context.ended.append(context.clock.seconds()))
+    context.clock.pump([0.1] * 100)
+
+
+@then("no rank is held once its work has ended")
+def _(context):
+    assert context.ended[:1] == [None], context.ended
+    held = [r for r in context.ranks.by_name.values() if r.held is not None]
+    assert not held, held
+
+
+@then("its work has ended within {limit:d} s")
+def _(context, limit):
+    assert context.ended[:1] == [None], context.ended
+    assert context.ended[1] < limit, context.ended
+
+
+# The whole agent.
+
+ADAPTER = "features_agent_stop_adapter"
+
+
+def _make_agent(reactor, grace):
+    """Make an agent on an adapter that reaches nothing."""
+    lease = _Lease()
+    parts = types.SimpleNamespace(
+        port_to=lambda _: None, roster=None, engines=_Engines(), lease=lease
+    )
+    module = types.ModuleType(ADAPTER)
+    module.make_agent = lambda **_: parts
+    given = types.SimpleNamespace(
+        adapter=ADAPTER,
+        peer="127.0.0.1:1",
+        engine="http://127.0.0.1:2",
+        target="g",
+        grace=grace,
+    )
+    with mock.patch.dict(sys.modules, {ADAPTER: module}):
+        return rank_agent.RankAgent(reactor=reactor, settings=given), lease
+
+
+@given(
+    "an agent with a grace time of {seconds:d} s whose work at the group "
+    "never ends"
+)
+def _(context, seconds):
+    context.clock = task.Clock()
+    grace = datetime.timedelta(seconds=seconds)
+    context.agent, lease = _make_agent(context.clock, grace)
+    context.left_at = None
+
+    async def leave():
+        context.left_at = context.clock.seconds()
+
+    lease.leave = leave
+    listener = context.agent._listener
+    listener.clock = types.SimpleNamespace(monotonic=context.clock.seconds)
+    listener._stopping_since = 0.0
+    context.agent._looking = defer.Deferred()
+    context.within = []
+
+    async def close(*, within):
+        context.within.append(within)
+        return process.Unfinished(0, 0)
+
+    listener.close_connections = close
+
+
+@when("the agent is told to stop and {seconds:d} s have passed")
+def _(context, seconds):
+    with mock.patch.object(rank_agent.LOG, "warning") as told:
+        defer.ensureDeferred(context.agent.stop())
+        context.clock.pump([0.1] * (seconds * 10))
+    context.warnings = told.call_args_list
+
+
+@then("its lease was left while it had time to close its connections")
+def _(context):
+    assert context.left_at is not None, "the lease was not left"
+    (within,) = context.within
+    assert within.total_seconds() >= CLOSES_S, (within, context.left_at)
+
+
+@then("its log names the step that was given up")
+def _(context):
+    (told,) = context.warnings
+    assert "step" in told.kwargs, told
