Let go of a group that may be held before a holder's work ends

Cause: run() ended with the look in which the stop came. If the answer to the order to hold was lost, or a rank was not heard just then, that look ends without a plan, so the rank stayed held until another agent saw its rank stand still; docs/OPERATIONS.md promises that a change is finished.

Ruled out: that one more look is enough: an order without an answer may be carried out later, and a hold that comes 0.5 s late was left behind as well. That Go forbids a late hold: the lockstep model takes a hold of a step that has not begun whatever came before. So a hold without an answer is done with only once its step has begun or the group formed anew.

Change: the holder keeps which holds it saw and which had no answer. After a stop it goes on with its looks while there are any, for 2 s (FINISH_S) at most, or until a newer holder refuses it; what is still open then is logged. It no longer wants, prepares or begins to hold anything after a stop: a look in progress could before.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -8,6 +8,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -36,6 +37,53 @@
 ROUNDS_WITHOUT = 8
 # Rounds of orders without a pause; each takes a few milliseconds.
 MOST_ROUNDS = 60
+# Seconds that a holder which stops goes on at most to let go of a group that
+# it may have held; an order without an answer may be carried out seconds
+# later, and without a holder the group waits 1.0 s (live-layouts.md).
+FINISH_S = 2.0
+
+
+class _Holds:
+    """Holds of the group that a holder must not leave behind.
+
+    Attributes:
+      seen: Whether a rank holds the group, by the last that was heard.
+    """
+
+    def __init__(self) -> None:
+        self.seen = False
+        self._unanswered: set[tuple[str, int, int]] = set()
+
+    @property
+    def left(self) -> bool:
+        """Whether a rank holds the group, or may do so later."""
+        return self.seen or bool(self._unanswered)
+
+    def note_outcomes(
+        self,
+        orders: Mapping[str, rank.Order],
+        outcomes: Mapping[str, rank.Outcome],
+        epoch: int,
+    ) -> None:
+        """Note what became of orders to hold the group."""
+        for name, order in orders.items():
+            if not isinstance(order, rank.Hold):
+                continue
+            if outcomes[name] == rank.Outcome.UNKNOWN:
+                self._unanswered.add((name, order.step, epoch))
+            elif outcomes[name] == rank.Outcome.TAKEN:
+                self.seen = True
+
+    def note_ranks(self, by_name: Mapping[str, rank.Rank]) -> None:
+        """Note what ranks report; a silent one may hold what it held."""
+        held = any(item.held is not None for item in by_name.values())
+        if held or relayout.whole(by_name):
+            self.seen = held
+        self._unanswered = {
+            hold
+            for hold in self._unanswered
+            if not _comes_too_late(hold, by_name)
+        }
 
 
 class Group:
@@ -76,11 +124,17 @@
         self._fenced: tuple[int, int] | None = None
         self._refused_fence = -1
         self._newest_version = 0
+        self._holds = _Holds()
         self._stopped = False
+        self._finish_by = math.inf
 
     async def run(self) -> None:
-        """Look after the group while the lease is held, until stopped."""
-        while not self._stopped:
+        """Look after the group while the lease is held, until stopped.
+
+        A group that this holder may have held is let go of before that, if
+        its ranks can be reached within FINISH_S.
+        """
+        while not self._stopped or self._must_finish():
             pause_s = TICK_S
             if self.holds:
                 try:
@@ -108,10 +162,21 @@
     def stop(self) -> None:
         """Begin no further change; one in progress is brought to its end."""
         self._stopped = True
+        self._finish_by = self._reactor.seconds() + FINISH_S
+
+    def _must_finish(self) -> bool:
+        """Tell whether a stop still has to let go of the group."""
+        # One that was refused leaves the group to the newer holder.
+        if not self.holds or not self._holds.left:
+            return False
+        if self._reactor.seconds() < self._finish_by:
+            return True
+        LOG.warning("The group may be left held.", fence=self._fence)
+        return False
 
     def _pause_s(self) -> float:
         """Return the seconds until the next look."""
-        if self._wanted is not None:
+        if self._stopped or self._wanted is not None:
             return LOADING_TICK_S
         return TICK_S if self._busy or self._finish_only else IDLE_TICK_S
 
@@ -138,9 +203,15 @@
         """Whether a fence was taken that no rank has refused."""
         return self._fence is not None and self._fence > self._refused_fence
 
+    async def _ask_all(self) -> dict[str, rank.Rank]:
+        """Ask all ranks; note whether one holds the group."""
+        by_name = await self._ranks.ask_all()
+        self._holds.note_ranks(by_name)
+        return by_name
+
     async def _look(self) -> None:
         """Look at all ranks once and do what there is to do."""
-        by_name = await self._ranks.ask_all()
+        by_name = await self._ask_all()
         if not relayout.whole(by_name):
             self._wanted = None
             await self._go_on_without(by_name)
@@ -149,7 +220,7 @@
         if self._fenced != (self._fence, epoch):
             if not await self._refuse_earlier(by_name, epoch):
                 return
-            by_name = await self._ranks.ask_all()
+            by_name = await self._ask_all()
             if not relayout.whole(by_name):
                 return
         if self._wanted is None and _at_rest(by_name):
@@ -157,11 +228,17 @@
                 LOG.info("The group goes on.", fence=self._fence, epoch=epoch)
                 self._fence, self._finish_only = None, False
                 return
-            await self.learn_limits()
-            self._busy = self._is_busy(by_name)
-            self._wanted = self._want(by_name) if self._busy else None
+            await self._choose(by_name)
         await self._drive(by_name, epoch)
 
+    async def _choose(self, by_name: Mapping[str, rank.Rank]) -> None:
+        """Want a layout if the group is busy and one is worth it."""
+        if self._stopped:
+            return
+        await self.learn_limits()
+        self._busy = self._is_busy(by_name)
+        self._wanted = self._want(by_name) if self._busy else None
+
     async def _go_on_without(self, by_name: dict[str, rank.Rank]) -> None:
         """Let the group go on where a holder fell silent with its rank."""
         held = [item for item in by_name.values() if item.held is not None]
@@ -174,7 +251,7 @@
         # The missing rank does not know this fence yet.
         self._fenced = None
         for _ in range(ROUNDS_WITHOUT):
-            by_name = await self._ranks.ask_all()
+            by_name = await self._ask_all()
             missing = relayout.missing_number(by_name)
             if missing is None:
                 return
@@ -209,7 +286,9 @@
         """Send orders until there is nothing to do but to wait."""
         own = self._members.own
         for _ in range(MOST_ROUNDS):
-            orders = relayout.plan(by_name, wanted=self._wanted, holder=own)
+            # After a stop only what ranks hold or are armed for goes on.
+            wanted = None if self._stopped else self._wanted
+            orders = relayout.plan(by_name, wanted=wanted, holder=own)
             if not orders:
                 break
             outcomes, told = await self._send(orders, epoch)
@@ -217,9 +296,10 @@
                 return
             by_name = {**by_name, **told}
             if len(told) < len(orders) or not relayout.whole(by_name):
-                by_name = await self._ranks.ask_all()
+                by_name = await self._ask_all()
                 if not relayout.whole(by_name):
                     return
+            self._holds.note_ranks(by_name)
             if self._note_prepares(orders, outcomes):
                 return
         self._note_done(by_name)
@@ -298,6 +378,7 @@
         rows = await told_ranks.gather(sent)
         outcomes = {name: outcome for name, outcome, _ in rows}
         told = {name: item for name, _, item in rows if item is not None}
+        self._holds.note_outcomes(orders, outcomes, epoch)
         if rank.Outcome.FENCED in outcomes.values():
             LOG.warning("A newer holder has the group.", fence=self._fence)
             self._refused_fence = self._fence
@@ -320,3 +401,12 @@
         item.armed or item.held is not None or item.copying
         for item in by_name.values()
     )
+
+
+def _comes_too_late(
+    hold: tuple[str, int, int], by_name: Mapping[str, rank.Rank]
+) -> bool:
+    """Tell whether a rank refuses a hold that is carried out from now on."""
+    name, step, epoch = hold
+    item = by_name.get(name)
+    return item is not None and (item.epoch != epoch or item.step >= step)
