Leave the lease only after a renewal on its way

Cause: the stop sent its leave whatever else was under way. A join that the store carries out after the leave makes the agent that has gone a member again, and nobody else holds the lease until it lapses, 1.5 s later. In the same way a renewal that was asking for the engine's limits as the stop came was sent after the leave.

Ruled out: waiting for the whole loop of renewals, which also rests for up to 2 s between two of them.

Change: calls at the lease take turns; the leave waits until the renewal is answered or lost (the store's client gives it 0.75 s), none is sent after a stop, and the answer of the last one changes nothing any more. A renewal whose answer is lost may still be carried out later; then the lease lapses as before.

--- a/features/agent_stop.feature
+++ b/features/agent_stop.feature
@@ -5,6 +5,12 @@
     When the keeper is told to stop
     Then the lease is left only after the renewal has been answered
 
+  Scenario: A lease that was given up is not asked for again
+    Given a keeper of a lease that asks for the limits before its renewal
+    When the keeper is told to stop
+    And the limits are answered
+    Then the lease has been left and not renewed
+
   Scenario: A holder that stops lets go of a group whose hold had no answer
     Given a holder whose order to hold the group is carried out but not answered
     When the holder is told to stop meanwhile
--- a/features/steps/agent_stop_steps.py
+++ b/features/steps/agent_stop_steps.py
@@ -59,8 +59,12 @@
 
     holds = False
 
+    limits = None
+
     async def learn_limits(self):
-        """Know the limits."""
+        """Know the limits, or wait for them."""
+        if self.limits is not None:
+            await self.limits
 
     def release(self):
         """Do nothing."""
@@ -69,17 +73,22 @@
         """Do nothing."""
 
 
-@given("a keeper of a lease whose renewal is on its way")
-def _(context):
+def _make_keeper(context):
+    context.group = _Group()
     context.clock, context.lease = task.Clock(), _Lease()
     context.keeper = lease_keeper.LeaseKeeper(
         reactor=context.clock,
         clock=clock.FakeClock(),
         lease=context.lease,
         own=_Own(),
-        group=_Group(),
+        group=context.group,
         members=types.SimpleNamespace(following=False),
     )
+
+
+@given("a keeper of a lease whose renewal is on its way")
+def _(context):
+    _make_keeper(context)
     context.keeper.start()
     context.clock.advance(lease_keeper.RELUCTANT_S)
     assert context.lease.calls == ["renew"], context.lease.calls
@@ -98,6 +107,26 @@
     assert context.lease.calls == ["renew", "leave"], context.lease.calls
 
 
+@given("a keeper of a lease that asks for the limits before its renewal")
+def _(context):
+    _make_keeper(context)
+    context.group.limits = defer.Deferred()
+    context.keeper.start()
+    context.clock.advance(lease_keeper.RELUCTANT_S)
+    assert not context.lease.calls, context.lease.calls
+
+
+@when("the limits are answered")
+def _(context):
+    context.group.limits.callback(None)
+    context.clock.advance(lease_keeper.RELUCTANT_S)
+
+
+@then("the lease has been left and not renewed")
+def _(context):
+    assert context.lease.calls == ["leave"], context.lease.calls
+
+
 # A change in progress at the stop of its holder.
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
@@ -62,6 +62,8 @@
         self._seen: rank.Rank | None = None
         self._seen_at = 0.0
         self._stopped = False
+        # A call at the lease; the next waits for its answer.
+        self._calling = defer.DeferredLock()
 
     def start(self) -> None:
         """Ask for the lease and watch the own rank from now on."""
@@ -69,10 +71,15 @@
         defer.ensureDeferred(self._every(WATCH_S, self._watch))
 
     async def stop(self) -> None:
-        """Give the lease up, so that another agent goes on."""
+        """Give the lease up, so that another agent goes on.
+
+        A renewal on its way is waited for, until it is answered or lost:
+        one that is carried out after the leave would take the lease again.
+        """
         self._stopped = True
         try:
-            await self._lease.leave()
+            async with self._calling:
+                await self._lease.leave()
         except error.CodedError as down:
             LOG.warning("The lease is left to lapse.", reason=down.detail)
 
@@ -102,7 +109,13 @@
         if self._place is None:
             return
         await self._group.learn_limits()
-        held = await self._lease.renew()
+        async with self._calling:
+            # The stop may have come while the limits were asked for.
+            if self._stopped:
+                return
+            held = await self._lease.renew()
+        if self._stopped:
+            return
         if held != self._held:
             LOG.info("Holds the lease." if held else "Lost the lease.")
             self._held = held
