Bound the steps of an agent's stop by its grace time

Cause: the stop waited for the holder's work, then for the lease, without any limit, so that a look that does not end (silent ranks, 60 rounds of orders) took the time of the lease and of the connections until the end by force. If the holder's work had failed, the stop failed with it and the lease was not left at all.

Ruled out: cancelling what takes too long: the holder's pause takes a cancel for a group that was taken and goes on, and an order that was begun may still be answered before the process ends.

Change: letting go of the group may take half of what is left of the grace time, leaving the lease 0.6 of what is left then; with 6 s that is 2.8 s and 1.7 s at most, and 1.1 s for connections. A step that is given up, or that failed, is logged by its name, and the next one gets its turn.

--- a/features/agent_stop.feature
+++ b/features/agent_stop.feature
@@ -31,3 +31,8 @@
     When the agent is told to stop and 6 s have passed
     Then its lease was left while it had time to close its connections
     And its log names the step that was given up
+
+  Scenario: An agent gives its lease up though its work at the group failed
+    Given an agent with a grace time of 6 s whose work at the group has failed
+    When the agent is told to stop and 1 s has passed
+    Then its lease was left while it had time to close its connections
--- a/features/steps/agent_stop_steps.py
+++ b/features/steps/agent_stop_steps.py
@@ -274,11 +274,7 @@
         return rank_agent.RankAgent(reactor=reactor, settings=given), lease
 
 
-@given(
-    "an agent with a grace time of {seconds:d} s whose work at the group "
-    "never ends"
-)
-def _(context, seconds):
+def _make_stopping(context, seconds, looking):
     context.clock = task.Clock()
     grace = datetime.timedelta(seconds=seconds)
     context.agent, lease = _make_agent(context.clock, grace)
@@ -291,7 +287,7 @@
     listener = context.agent._listener
     listener.clock = types.SimpleNamespace(monotonic=context.clock.seconds)
     listener._stopping_since = 0.0
-    context.agent._looking = defer.Deferred()
+    context.agent._looking = looking
     context.within = []
 
     async def close(*, within):
@@ -301,7 +297,24 @@
     listener.close_connections = close
 
 
+@given(
+    "an agent with a grace time of {seconds:d} s whose work at the group "
+    "never ends"
+)
+def _(context, seconds):
+    _make_stopping(context, seconds, defer.Deferred())
+
+
+@given(
+    "an agent with a grace time of {seconds:d} s whose work at the group "
+    "has failed"
+)
+def _(context, seconds):
+    _make_stopping(context, seconds, defer.fail(ValueError("broken")))
+
+
 @when("the agent is told to stop and {seconds:d} s have passed")
+@when("the agent is told to stop and {seconds:d} s has passed")
 def _(context, seconds):
     with mock.patch.object(rank_agent.LOG, "warning") as told:
         defer.ensureDeferred(context.agent.stop())
--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
@@ -13,7 +13,7 @@
 from reelscale_core import clock, settings
 from reelscale_wire import link
 from reelscale_wire.gen import Peer, ttypes
-from twisted.internet import defer
+from twisted.internet import defer, task
 from twisted.web import resource
 from zope.interface import implementer
 
@@ -30,6 +30,13 @@
 from .exchange import pool
 
 LOG = logs.Part("agent")
+# What the first two steps of a stop may take at most, as parts of what is
+# left of the grace time then: of the 5.6 s that are left of a grace time of
+# 6 s, 2.8 s to let go of the group (group.FINISH_S and a last look), then
+# 1.7 s to leave the lease (two calls at the store, each 0.75 s at most), so
+# that connections have 1.1 s.
+FINISH_PART = 0.5
+LEAVE_PART = 0.6
 
 
 @implementer(Peer.Iface)
@@ -115,13 +122,44 @@
         self._group.stop()
         self._members.stop()
         if self._looking is not None:
-            await self._looking
-        await self._keeper.stop()
+            await self._wait(self._looking, FINISH_PART, step="the group")
+        leaving = defer.ensureDeferred(self._keeper.stop())
+        await self._wait(leaving, LEAVE_PART, step="the lease")
         await self._listener.stop_listening()
         within = self._listener.left_of(self.settings.grace)
         left = await self._listener.close_connections(within=within)
         LOG.info("Stopped.", **left._asdict())
 
+    async def _wait(
+        self, work: defer.Deferred, part: float, *, step: str
+    ) -> None:
+        """Wait for a step of the stop, but leave time for those after it."""
+        left = self._listener.left_of(self.settings.grace)
+        within_s = left.total_seconds() * part
+        limit = task.deferLater(self._reactor, within_s)
+        # Work that is given up is not cancelled: an order that was begun
+        # may still be answered before the process ends.
+        first = defer.DeferredList(
+            [work, limit],
+            fireOnOneCallback=True,
+            fireOnOneErrback=True,
+            consumeErrors=True,
+        )
+        try:
+            _, number = await first
+        except defer.FirstError as failed:
+            reason = failed.subFailure.getTraceback()
+            LOG.error("A step of the stop failed.", step=step, reason=reason)
+            number = 0
+        if number == 0:
+            limit.cancel()
+            return
+        LOG.warning(
+            "A step of the stop was given up.",
+            step=step,
+            after_s=round(within_s, 3),
+        )
+
     def _take_settings(self, new: settings.Settings) -> None:
         """Keep new settings for the next reading; none changes this start."""
         self.settings = new
