Show what a holder does that loses its lease in the middle of a look

Cause: Group.release() forgets the fence while a look may be awaiting a call of its own, and the look goes on without one.

Change: a feature on a holder whose lease is lost while an order, the ranks or the limits are awaited, also with the lease back before the answer, while the holder stops, and for an agent that finishes a change without the lease. The ranks and engines of agent_stop move to features/holder_fakes.py for both features; its scenarios and checks are as they were.

Seen: agent_lease and agent_stop in one run, "9 passed, 17 failed"; all seven of agent_stop pass. Of agent_lease: - lost while the fence's answer, the ranks (1st to 3rd time asked) or the limits are awaited: run() ends with TypeError: unsupported operand type(s) for *: 'NoneType' and 'int' - lost while the hold's answer or the ranks after it are awaited: ('arm', 'r1', None), ('arm', 'r0', None), ('go', 'r1', None) are sent; in the middle of arming: ('arm', 'r0', None), ('go', 'r1', None); the same orders as for the hold if the holder stops meanwhile - back under fence 2 before the answer: prepare to go are sent under 2 before any rank was told to refuse earlier holders; if the answer says that fence 1 is outdated, nothing is ever done under fence 2 - lost while preparing, at the go, or with an outdated fence: no order is sent, but the look does not say that it ended for want of the lease The finisher without the lease and the lease that is back while preparing pass.

--- /dev/null
+++ b/features/steps/agent_lease_steps.py
@@ -0,0 +1,192 @@
+"""Steps on an agent that loses its lease in the middle of a look."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from unittest import mock
+
+from behave import given, then, when
+from reelscale_core import rank
+from reelscale_daemon.controllers import group
+from twisted.internet import defer
+
+from features import holder_fakes
+
+OUTCOMES = {item.name.lower(): item for item in rank.Outcome}
+ALONE = "The group is left alone."
+
+
+class _Ranks(holder_fakes.Ranks):
+    """Ranks whose answer to one call is given when a test says so."""
+
+    def __init__(self, *, order="", ask=0):
+        super().__init__()
+        self.silent_looks = 0
+        self.sent = []
+        self.asked = 0
+        self._order, self._ask = order, ask
+        self.answers = []
+        self.outcome = rank.Outcome.TAKEN
+
+    async def ask_all(self):
+        self.asked += 1
+        if self.asked == self._ask:
+            await self._wait()
+        return await super().ask_all()
+
+    async def order(self, member, order, *, fence, epoch):
+        kind = type(order).__name__.lower()
+        self.sent.append((kind, member, fence))
+        told = await super().order(member, order, fence=fence, epoch=epoch)
+        if kind != self._order or fence != 1:
+            return told
+        await self._wait()
+        taken = self.outcome == rank.Outcome.TAKEN
+        return self.outcome, told[1] if taken else None
+
+    async def _wait(self):
+        self.answers.append(defer.Deferred())
+        await self.answers[-1]
+
+    def answer(self):
+        for waiting in self.answers:
+            waiting.callback(None)
+
+
+class _Engines:
+    """Engines whose limits are awaited."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def limits(self, target):
+        self.asked.append(defer.Deferred())
+        await self.asked[-1]
+
+
+def _run(context, ranks, engines=None, *, finish_only=False):
+    """Let a holder work until a call of its own is awaited."""
+    holder_fakes.make_holder(context, ranks, engines)
+    watch = mock.patch.object(group.LOG, "warning")
+    context.warned = watch.start()
+    context.add_cleanup(watch.stop)
+    context.ended, context.retaken = [], False
+    context.group.take(1, finish_only=finish_only)
+    done = defer.ensureDeferred(context.group.run())
+    done.addBoth(context.ended.append)
+    context.clock.pump([0.1] * 20)
+    assert not context.ended, context.ended
+    context.before = list(ranks.sent)
+
+
+@given("a holder that waits for the answer to its order to {order}")
+def _(context, order):
+    _run(context, _Ranks(order=order))
+    assert context.ranks.answers, context.ranks.sent
+
+
+@given("a holder that waits for its ranks, asked for the {nth:d}th time")
+def _(context, nth):
+    _run(context, _Ranks(ask=nth))
+    assert context.ranks.answers, context.ranks.sent
+
+
+@given("a holder that waits for the limits")
+def _(context):
+    context.engines = _Engines()
+    _run(context, _Ranks(), context.engines)
+    assert context.engines.asked, context.ranks.sent
+
+
+@given("an agent that finishes a change and waits for an answer")
+def _(context):
+    ranks = _Ranks(order="fence")
+    for name, item in ranks.by_name.items():
+        held = 7 if name == "r1" else None
+        ranks.by_name[name] = item._replace(prepared=9, held=held)
+    _run(context, ranks, finish_only=True)
+    assert ranks.answers, ranks.sent
+
+
+@when("it is told to stop")
+def _(context):
+    context.group.stop()
+
+
+@when("its lease is lost and the order was {outcome}")
+def _(context, outcome):
+    context.ranks.outcome = OUTCOMES[outcome]
+    context.group.release()
+    context.ranks.answer()
+    context.clock.pump([0.1] * 20)
+
+
+@when("its lease is lost and taken again, and the order was {outcome}")
+def _(context, outcome):
+    context.ranks.outcome = OUTCOMES[outcome]
+    context.group.release()
+    context.group.take(2)
+    context.retaken = True
+    context.ranks.answer()
+    context.clock.pump([0.1] * 20)
+
+
+@when("its lease is lost and the ranks answer")
+def _(context):
+    context.group.release()
+    context.ranks.answer()
+    context.clock.pump([0.1] * 20)
+
+
+@when("its lease is lost and the limits are answered")
+def _(context):
+    context.group.release()
+    for waiting in context.engines.asked:
+        waiting.callback(None)
+    context.clock.pump([0.1] * 20)
+
+
+@then("it has sent no order after that")
+def _(context):
+    after = context.ranks.sent[len(context.before) :]
+    assert not after, (after, context.ended)
+
+
+@then("it has said once that it leaves the group alone")
+def _(context):
+    said = [c.args[0] for c in context.warned.call_args_list]
+    assert said.count(ALONE) == 1, (said, context.ended)
+
+
+@then("it looks after the group again under the next fence")
+def _(context):
+    assert not context.ended, context.ended
+    if not context.retaken:
+        context.group.take(2)
+    context.clock.pump([0.1] * 20)
+    assert not context.ended, context.ended
+    after = context.ranks.sent[len(context.before) :]
+    fenced = {("fence", name, 2) for name in holder_fakes.RANKS}
+    assert set(after[:2]) == fenced, after
+    assert {fence for _, _, fence in after} == {2}, after
+    _check_changed(context)
+
+
+@then("the change is brought to its end")
+def _(context):
+    assert not context.ended, context.ended
+    assert {fence for _, _, fence in context.ranks.sent} == {1}
+    _check_changed(context)
+
+
+def _check_changed(context):
+    """Check that the group goes on, with all armed for one change."""
+    found = context.ranks.by_name.values()
+    assert all(item.held is None for item in found), found
+    armed = {item.armed for item in found}
+    assert len(armed) == 1 and None not in armed, found
+
+
+@then("its work has ended in order")
+def _(context):
+    assert context.ended == [None], context.ended
--- a/features/steps/agent_stop_steps.py
+++ b/features/steps/agent_stop_steps.py
@@ -10,12 +10,13 @@
 from unittest import mock
 
 from behave import given, then, when
-from reelscale_core import clock, rank
+from reelscale_core import clock
 from reelscale_daemon import process, rank_agent
-from reelscale_daemon.controllers import group, lease_keeper, told_ranks
+from reelscale_daemon.controllers import lease_keeper
 from twisted.internet import defer, task
 
-RANKS = ("r0", "r1")
+from features import holder_fakes
+
 # What a stop keeps for its connections at least, in seconds, here: peers and
 # probes are answered within half of it.
 CLOSES_S = 0.5
@@ -130,86 +131,18 @@
 # A change in progress at the stop of its holder.
 
 
-class _Ranks:
-    """Two ranks; one is not heard once, just after the group was held."""
-
-    def __init__(self):
-        self.by_name = {
-            name: rank.Rank("g", 1, number, 2, True, 5, 0, 9)
-            for number, name in enumerate(RANKS)
-        }
-        self.silent = 0
-        self.silent_looks = 1
-        self.on_hold = lambda: None
-        self.carry_out = self.by_name.__setitem__
-
-    async def ask_all(self):
-        if self.silent:
-            self.silent -= 1
-            return {"r0": self.by_name["r0"]}
-        return dict(self.by_name)
-
-    def choose(self, by_name, limits):
-        return told_ranks.Better((((0,), (1,)),), 2.0, 1.0, 1)
-
-    def note_in_use(self, by_name, wanted):
-        """Do nothing."""
-
-    async def order(self, member, order, *, fence, epoch):
-        """Carry an order out; the answer to the first hold is lost."""
-        found = self.by_name[member]
-        match order:
-            case rank.Prepare(version=version):
-                found = found._replace(prepared=version)
-            case rank.Hold(step=step):
-                found = found._replace(held=step)
-            case rank.Arm(version=version, step=step):
-                found = found._replace(armed=rank.Armed(version, step))
-            case rank.Go():
-                found = found._replace(held=None)
-        if isinstance(order, rank.Hold):
-            self.carry_out(member, found)
-            self.silent = self.silent_looks
-            self.on_hold()
-            return rank.Outcome.UNKNOWN, None
-        self.by_name[member] = found
-        return rank.Outcome.TAKEN, found
-
-
-class _Engines:
-    """Engines that allow anything."""
-
-    async def limits(self, target):
-        """Know no limit."""
-
-
-def _make_holder(context):
-    context.clock, context.ranks = task.Clock(), _Ranks()
-    members = types.SimpleNamespace(
-        own="r0", slots=4, by_name={name: name for name in RANKS}
-    )
-    context.group = group.Group(
-        reactor=context.clock,
-        reach=context.ranks,
-        ranks=context.ranks,
-        engines=_Engines(),
-        members=members,
-        target="g",
-    )
-
-
 @given(
     "a holder whose order to hold the group is carried out but not answered"
 )
 def _(context):
-    _make_holder(context)
+    holder_fakes.make_holder(context)
 
 
 @given(
     "a holder whose order to hold the group is carried out {seconds:g} s late"
 )
 def _(context, seconds):
-    _make_holder(context)
+    holder_fakes.make_holder(context)
     made = context.ranks
 
     def later(member, found):
@@ -222,7 +155,7 @@
 
 @given("a holder whose order to hold the group is followed by silence")
 def _(context):
-    _make_holder(context)
+    holder_fakes.make_holder(context)
     context.ranks.silent_looks = math.inf
 
 
@@ -259,7 +192,10 @@
     """Make an agent on an adapter that reaches nothing."""
     lease = _Lease()
     parts = types.SimpleNamespace(
-        port_to=lambda _: None, roster=None, engines=_Engines(), lease=lease
+        port_to=lambda _: None,
+        roster=None,
+        engines=holder_fakes.Engines(),
+        lease=lease,
     )
     module = types.ModuleType(ADAPTER)
     module.make_agent = lambda **_: parts
