End a holder's look once its lease is lost

Cause: Group.release() takes the fence away at once, but a look that awaits an answer went on: it computed a version from no fence, a TypeError that ended run() for good, or sent the rest of a change without a fence. With the lease back meanwhile the rest went out under the new fence before the ranks refused earlier holders, and an answer that the old fence is outdated was noted for the new one, which was then never used.

Ruled out: letting the look finish its change under the old fence. The lease is then another's, who finishes the change (live-layouts.md); two holders would only race until the ranks refuse the older. Catching the TypeError in run(): orders without a fence would still leave.

Change: a look keeps the fence that it began under, and orders and refusals go by that. After each answer (ranks, orders, limits) the look ends with the coded error "lease-lost" if the fence is another by then; run() logs it and goes on. What was heard of holds is noted first. An agent that finishes a change without the lease is left as it was: release() does not concern it. A stopping holder that loses the lease ends its work.

The engine of agent_lease now answers limits instead of nothing: the holder asks only until it knows some, so the scenario's second fence waited for an answer that the test never gave. The check is the same.

Left: an order handed over before the loss may still be on its way to its rank; it bears the old fence, which ranks refuse once they know a newer one.

--- a/features/steps/agent_lease_steps.py
+++ b/features/steps/agent_lease_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from reelscale_core import rank
+from reelscale_daemon.adapters import base
 from reelscale_daemon.controllers import group
 from twisted.internet import defer
 
@@ -62,6 +63,7 @@
     async def limits(self, target):
         self.asked.append(defer.Deferred())
         await self.asked[-1]
+        return base.EngineLimits(experts=2, places=2, spare=1)
 
 
 def _run(context, ranks, engines=None, *, finish_only=False):
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -116,6 +116,9 @@
         self._members = members
         self._target = target
         self._fence: int | None = None
+        # The fence that the look in progress began under; the lease may be
+        # lost, and got again, while the look awaits an answer.
+        self._look_fence = -1
         self._finish_only = False
         self._busy = False
         self._waiting: defer.Deferred | None = None
@@ -194,7 +197,11 @@
             self._waiting.cancel()
 
     def release(self) -> None:
-        """Leave the group to another, but for a change to be finished."""
+        """Leave the group to another, but for a change to be finished.
+
+        A look in progress sends no order after that; what it leaves of a
+        change is finished by the next holder.
+        """
         if not self._finish_only:
             self._fence = None
 
@@ -207,10 +214,26 @@
         """Ask all ranks; note whether one holds the group."""
         by_name = await self._ranks.ask_all()
         self._holds.note_ranks(by_name)
+        self._check_fence()
         return by_name
 
+    def _check_fence(self) -> None:
+        """End a look whose fence was given up; CodedError "lease-lost"."""
+        if self._fence != self._look_fence:
+            raise error.CodedError(
+                "lease-lost",
+                step="look",
+                detail=f"The lease of fence {self._look_fence} was lost.",
+            )
+
     async def _look(self) -> None:
-        """Look at all ranks once and do what there is to do."""
+        """Look at all ranks once and do what there is to do.
+
+        Raises:
+          error.CodedError: "lease-lost" if the lease was lost meanwhile;
+            what learn_limits() raises.
+        """
+        self._look_fence = self._fence
         by_name = await self._ask_all()
         if not relayout.whole(by_name):
             self._wanted = None
@@ -236,6 +259,7 @@
         if self._stopped:
             return
         await self.learn_limits()
+        self._check_fence()
         self._busy = self._is_busy(by_name)
         self._wanted = self._want(by_name) if self._busy else None
 
@@ -380,9 +404,12 @@
         told = {name: item for name, _, item in rows if item is not None}
         self._holds.note_outcomes(orders, outcomes, epoch)
         if rank.Outcome.FENCED in outcomes.values():
-            LOG.warning("A newer holder has the group.", fence=self._fence)
-            self._refused_fence = self._fence
+            LOG.warning(
+                "A newer holder has the group.", fence=self._look_fence
+            )
+            self._refused_fence = self._look_fence
             self._wanted = None
+        self._check_fence()
         return outcomes, told
 
     async def _order(
@@ -390,7 +417,7 @@
     ) -> tuple[str, rank.Outcome, rank.Rank | None]:
         member = self._members.by_name[name]
         outcome, told = await self._reach.order(
-            member, order, fence=self._fence, epoch=epoch
+            member, order, fence=self._look_fence, epoch=epoch
         )
         return name, outcome, told
 
