Use no connection again that still has a request to send

Cause: an answer that comes before its request is whole makes the connection count as free while the rest of the body is in our buffer; the next request waits behind it (a case of the class: over for the bookkeeping, not delivered).

Ruled out: mixed bytes; the buffer keeps its order.

Change: a connection with unsent bytes is not usable, so it is closed instead of kept.

--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -16,6 +16,7 @@
 from typing import Any, NamedTuple
 
 import h11
+from reelscale_wire import outgoing
 from twisted.internet import defer, error, protocol
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -132,8 +133,14 @@
 
     @property
     def usable(self) -> bool:
-        """Whether another exchange may begin on it."""
-        return not self._busy and self._lost is None
+        """Whether another exchange may begin on it.
+
+        Not while a part of the last request is still to be sent, as when its
+        answer came early: the next one would wait behind it.
+        """
+        if self._busy or self._lost is not None:
+            return False
+        return not outgoing.unsent_bytes(self.transport)
 
     def send(self, request: Request) -> None:
         """Write a request; its answer is read by head() and chunk()."""
