--- a/features/slow_callers.py
+++ b/features/slow_callers.py
@@ -1,4 +1,4 @@
-"""Callers who read slowly, for steps: sockets that take little unasked."""
+"""Callers who read slowly: what steps on them share, over bare sockets."""
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
@@ -10,6 +10,11 @@
 # Less than the kernel would take by itself, so that most of the answers
 # stay in the memory of the process that writes them.
 WINDOW_BYTES = 16384
+# A read that lasts longer than this fails its test.
+READ_TIMEOUT_S = 30
+READ_BYTES = 1 << 20
+CONNECT_TIMEOUT_S = 2
+# The line that an entry writes once an answer is in its hands as a whole.
 ENDED = "A request has ended."
 
 
@@ -19,7 +24,7 @@
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
     sock.connect((host, int(port)))
-    sock.settimeout(30)
+    sock.settimeout(READ_TIMEOUT_S)
     return sock
 
 
@@ -27,7 +32,7 @@
     """Return all that comes until the connection ends, by whichever way."""
     data = bytearray()
     try:
-        while piece := sock.recv(1 << 20):
+        while piece := sock.recv(READ_BYTES):
             data += piece
     except ConnectionResetError:
         pass
@@ -47,7 +52,9 @@
 
     def refused():
         try:
-            socket.create_connection((host, int(port)), 2).close()
+            socket.create_connection(
+                (host, int(port)), CONNECT_TIMEOUT_S
+            ).close()
         except (ConnectionRefusedError, ConnectionResetError):
             return True
         return False
