Take note of what a pull acknowledges before it waits

Cause: a pull says up to which chunk its entry has the answer, but the agent dropped those chunks only after it had waited for more. A full outbox keeps the upstream paused, so there was no more to come until the wait of 10 s ran out: the agent waited for the entry and the entry for the agent, once for each outbox that an answer fills.

Ruled out: a larger outbox, which only moves the size at which it happens; a shorter wait, which makes many empty pulls of a quiet stream.

Change: the outbox can acknowledge apart from being read; a pull does so first, lets the upstream go on, and waits only then. A pull for chunks that are gone is told so before its wait, too.

Conclusion: a full outbox is no reason to wait.

--- a/packages/reelscale-core/src/reelscale_core/answer.py
+++ b/packages/reelscale-core/src/reelscale_core/answer.py
@@ -100,11 +100,11 @@
         """Return the digest over all chunks so far."""
         return self._digest.hexdigest()
 
-    def read(self, from_seq: int, max_bytes: int) -> list[bytes]:
-        """Return chunks from a sequence number on; drops earlier ones.
+    def acknowledge(self, from_seq: int) -> None:
+        """Drop the chunks before a sequence number: they have arrived.
 
         Raises:
-          IndexError: Chunks before from_seq were already dropped.
+          IndexError: from_seq was itself dropped, or has yet to be put in.
         """
         if from_seq < self.base or from_seq > self.count:
             raise IndexError(from_seq)
@@ -112,6 +112,14 @@
         self.bytes -= sum(len(chunk) for chunk in self._chunks[:gone])
         del self._chunks[:gone]
         self.base = from_seq
+
+    def read(self, from_seq: int, max_bytes: int) -> list[bytes]:
+        """Return chunks from a sequence number on; drops earlier ones.
+
+        Raises:
+          IndexError: As of acknowledge().
+        """
+        self.acknowledge(from_seq)
         size = 0
         for index, chunk in enumerate(self._chunks):
             size += len(chunk)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
@@ -49,6 +49,16 @@
         """Whether the upstream has given all that it will give."""
         return self.ended_at is not None
 
+    def acknowledge(self, from_seq: int) -> None:
+        """Drop what has arrived; let the upstream go on if there is room.
+
+        Raises:
+          IndexError: As of the outbox.
+        """
+        self.outbox.acknowledge(from_seq)
+        if self.exchange is not None and not self.outbox.full:
+            self.exchange.resume()
+
     def ready(self, from_seq: int) -> bool:
         """Tell whether a pull would be given anything."""
         return self.ended or self.outbox.count > from_seq
@@ -176,13 +186,22 @@
         if stream is None:
             return self._failed(pull, "unknown-attempt", not_run=False)
         stream.pulled_at = self._clock.monotonic()
-        if not stream.ready(pull.from_seq):
-            waiter = stream.wait(pull)
-            later = self._reactor.callLater(PULL_WAIT_S, stream.wake)
-            await waiter
-            if later.active():
-                later.cancel()
-        return self._batch(stream, pull)
+        try:
+            # Before the wait: a full outbox holds back what it waits for.
+            stream.acknowledge(pull.from_seq)
+            if not stream.ready(pull.from_seq):
+                await self._something(stream, pull)
+            return self._batch(stream, pull)
+        except IndexError:
+            return self._failed(pull, "chunks-gone", not_run=False)
+
+    async def _something(self, stream: Stream, pull: ttypes.Pull) -> None:
+        """Wait until a pull would be given something, for so long."""
+        waiter = stream.wait(pull)
+        later = self._reactor.callLater(PULL_WAIT_S, stream.wake)
+        await waiter
+        if later.active():
+            later.cancel()
 
     def cancel(self, attempt: str) -> ttypes.Verdict:
         """Kill an attempt; refused means it is proved not to run."""
@@ -247,12 +266,7 @@
         stream.wake()
 
     def _batch(self, stream: Stream, pull: ttypes.Pull) -> ttypes.Batch:
-        try:
-            chunks = stream.outbox.read(pull.from_seq, pull.max_bytes)
-        except IndexError:
-            return self._failed(pull, "chunks-gone", not_run=False)
-        if stream.exchange is not None and not stream.outbox.full:
-            stream.exchange.resume()
+        chunks = stream.outbox.read(pull.from_seq, pull.max_bytes)
         last = pull.from_seq + len(chunks) == stream.outbox.count
         done = stream.ended and last
         head = stream.head or upstreams.Head(0, ())
