Keep an ended answer until its entry has fetched it

Cause: an agent forgot an answer 5 s after the last pull once the upstream was done. An entry whose caller reads slowly pulls less often than that; its next pull got "unknown-attempt" and the answer broke off.

Ruled out: a longer fixed time for all, which keeps what has been fetched as long as what has not; entries that pull ahead of their callers, which moves the memory to them.

Change: an attempt is released when its entry has been given the end or has cancelled it. A released one is kept 5 s, as before, for an answer that was lost; any other that has ended is kept until its entry has been silent for the 15 s after which an attempt is orphaned. Silence is counted from when a pull was given something, not from when it began to wait, for up to 10 s. What each costs is bounded by buffer_bytes and what was on its way at the pause; their number is bounded by the callers who read, as they take no slot. The second copy of a body under a key is dropped when the answer ends.

Not mended: a caller who reads nothing for longer than the entry can take and 15 s loses the rest, whether the upstream is done or not.

Conclusion: an answer is over for its agent when its entry has it.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
@@ -20,15 +20,22 @@
 LOG = logs.Part("streams")
 # A pull waits this long for something to give.
 PULL_WAIT_S = 10.0
-# An attempt that nobody pulls for this long has lost its entry.
+# An attempt that nobody pulls for this long, in seconds, has lost its entry;
+# more than PULL_WAIT_S, for which a pull may stand.
 ORPHAN_S = 15.0
-# An attempt that ended is kept this long for a pull that was lost.
-ENDED_S = 5.0
+# An attempt whose entry was given its end is kept this long, in seconds, in
+# case that was lost: an entry asks again for 2 s (RELINK_S of attempt.py).
+GIVEN_S = 5.0
 BUSY_RETRY_MS = 200
 
 
 class Stream:
-    """One attempt in progress."""
+    """One attempt, until its entry has all of it.
+
+    Attributes:
+      pulled_at: When its entry was last heard, or given something.
+      released: Whether its entry has been given its end, or wants no more.
+    """
 
     def __init__(
         self, *, request: ttypes.Submit, limit_bytes: int, now: float
@@ -41,6 +48,7 @@
         self.exchange: upstreams.Exchange | None = None
         self.pulled_at = now
         self.ended_at: float | None = None
+        self.released = False
         self.kept: list[bytes] | None = None
         self._pull: tuple[defer.Deferred, ttypes.Pull] | None = None
 
@@ -191,7 +199,7 @@
             stream.acknowledge(pull.from_seq)
             if not stream.ready(pull.from_seq):
                 await self._something(stream, pull)
-            return self._batch(stream, pull)
+            return self._give(stream, pull)
         except IndexError:
             return self._failed(pull, "chunks-gone", not_run=False)
 
@@ -207,6 +215,7 @@
         """Kill an attempt; refused means it is proved not to run."""
         stream = self.by_attempt.get(attempt)
         if stream is not None:
+            stream.released = True
             self._give_up(stream)
             return self.verdict("started", unknown=True)
         if self.gate.cancel(attempt, self._clock.monotonic()):
@@ -214,13 +223,19 @@
         return self.verdict("started", unknown=True)
 
     def sweep(self) -> None:
-        """Forget attempts that ended, and give up those without entry."""
+        """Forget attempts that ended, and give up those without entry.
+
+        One that ended is not over while its entry, whose caller may read
+        slowly, has yet to fetch the rest.
+        """
         now = self._clock.monotonic()
         for attempt, stream in list(self.by_attempt.items()):
-            if stream.ended and now - stream.pulled_at > ENDED_S:
+            silent_s = now - stream.pulled_at
+            if not stream.ended:
+                if silent_s > ORPHAN_S:
+                    self._give_up(stream)
+            elif silent_s > (GIVEN_S if stream.released else ORPHAN_S):
                 del self.by_attempt[attempt]
-            elif now - stream.pulled_at > ORPHAN_S:
-                self._give_up(stream)
 
     def _give_up(self, stream: Stream) -> None:
         """Stop an attempt that nobody waits for any more.
@@ -263,8 +278,20 @@
             self.gate.finish(attempt, now)
         for listener in self.on_end:
             listener(stream)
+        # Only the listeners need the body beside the outbox.
+        stream.kept = None
         stream.wake()
 
+    def _give(self, stream: Stream, pull: ttypes.Pull) -> ttypes.Batch:
+        """Answer a pull, and note what its entry then has."""
+        batch = self._batch(stream, pull)
+        if batch.done:
+            stream.released = True
+        if batch.done or batch.chunks:
+            # An entry that waited for this has not been silent meanwhile.
+            stream.pulled_at = self._clock.monotonic()
+        return batch
+
     def _batch(self, stream: Stream, pull: ttypes.Pull) -> ttypes.Batch:
         chunks = stream.outbox.read(pull.from_seq, pull.max_bytes)
         last = pull.from_seq + len(chunks) == stream.outbox.count
