Have an agent's stop wait until entries have fetched what has ended

Cause: a stop counted an ended answer only if it was pulled within the last second. An entry that waits for its slow caller pulls less often, so the agent ended with chunks that nobody had fetched, and the answer broke off with "agent-lost". An ended answer without any piece was not counted at all.

Ruled out: that closing connections in order covers it; the chunks are in the agent's outbox, and no pull stands on the connection that is closed.

Change: a stop waits for each attempt that is not released until its entry has been silent for the 15 s of an orphan, and for a released one until 1 s after the last pull, as before, for an end that was lost with its connection. The bytes of the last pull leave with the close of the connections.

Not mended: an entry that was killed keeps a stop waiting for up to 15 s if it had not fetched all; a caller who reads ever so slowly, for as long as it reads.

Conclusion: an agent stays until its answers are with their entries.

--- a/features/agent_streams.feature
+++ b/features/agent_streams.feature
@@ -24,6 +24,27 @@
     Then it is still kept after 14 s without a pull
     And it is forgotten after 16 s without a pull
 
+  Scenario: A stopping agent ends after its entry has fetched its answers
+    Given a cluster of its own whose agents hold up to 8 MB of an answer
+    When a service has answered 4 MB to a caller who reads nothing yet
+    And its agent is told to stop and the caller begins to read 4 s later
+    Then the slow caller gets the whole answer
+    And the agent has exited with status 0
+
+  Scenario Outline: A stop waits for an entry for so long and no longer
+    Given an agent's answer of <count> pieces that has ended
+    When its entry <does>
+    Then a stop still waits <kept> s after the last pull
+    And it waits no longer <gone> s after the last pull
+
+    Examples:
+      | count | does                              | kept | gone |
+      | 3     | has fetched nothing               | 14   | 16   |
+      | 3     | has fetched 2 pieces              | 14   | 16   |
+      | 3     | has fetched all pieces            | 0    | 2    |
+      | 3     | has fetched nothing and cancelled | 0    | 2    |
+      | 0     | has fetched nothing               | 14   | 16   |
+
   Scenario: An answer of a service is not held up on its way
     Given a cluster of its own whose agents hold up to 64 KB of an answer
     When a caller asks a service for 200 KB
--- a/features/steps/agent_streams_steps.py
+++ b/features/steps/agent_streams_steps.py
@@ -3,6 +3,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import signal
 import time
 import types
 
@@ -24,6 +25,8 @@
 LONG = "y" * (4 * MEGABYTE)
 # A piece of an answer that has no process behind it; a pull asks for one.
 PIECE = b"z" * 100
+# By then, in seconds, an agent has ended that waits for nothing more.
+EXIT_S = 10
 # What agents hold unless their settings say otherwise, in bytes; see
 # buffer_bytes in settings.schema.json of reelscale_core.
 USUAL_BYTES = 65536
@@ -98,6 +101,29 @@
     context.read = slow_callers.read_all(context.sock)
 
 
+@when("a service has answered 4 MB to a caller who reads nothing yet")
+def _(context):
+    _ask_long(context)
+
+
+@when(
+    "its agent is told to stop and the caller begins to read {seconds:d} s "
+    "later"
+)
+def _(context, seconds):
+    made = context.cluster
+    made.processes[made.services[0][0]].signal(signal.SIGTERM)
+    time.sleep(seconds)
+    context.read = slow_callers.read_all(context.sock)
+
+
+@then("the agent has exited with status 0")
+def _(context):
+    made = context.cluster
+    status = made.processes[made.services[0][0]].popen.wait(EXIT_S)
+    assert status == 0, status
+
+
 @then("the slow caller gets the whole answer")
 def _(context):
     head, _, body = context.read.partition(b"\r\n\r\n")
@@ -214,3 +240,16 @@
 def _(context, seconds):
     _advance(context, seconds - context.silent_s)
     assert "a" not in context.streams.by_attempt
+
+
+@then("a stop still waits {seconds:d} s after the last pull")
+def _(context, seconds):
+    assert not context.streams.gate.running
+    _advance(context, seconds - context.silent_s)
+    assert context.streams.unfetched()
+
+
+@then("it waits no longer {seconds:d} s after the last pull")
+def _(context, seconds):
+    _advance(context, seconds - context.silent_s)
+    assert not context.streams.unfetched()
--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -127,7 +127,7 @@
         # Until every grant has lapsed, entries that have not heard yet may
         # send; they get a refusal instead of a connection that breaks.
         await task.deferLater(base.reactor, grant.LAPSE_S + ARRIVAL_S)
-        while self._streams.gate.running or self._unpulled():
+        while self._streams.gate.running or self._streams.unfetched():
             await task.deferLater(base.reactor, process.STOP_POLL_S)
         self._layouts.stop()
         self._keys.stop()
@@ -310,15 +310,6 @@
         self._base.config.peers.update(entries)
         self._follow()
 
-    def _unpulled(self) -> bool:
-        """Tell whether an entry has yet to fetch the end of an answer."""
-        now = self._base.clock.monotonic()
-        return any(
-            now - stream.pulled_at < 1.0
-            and stream.outbox.count > stream.outbox.base
-            for stream in self._streams.by_attempt.values()
-        )
-
     def _not_ready(self) -> str:
         now = self._base.clock.monotonic()
         if not self._base.config.ready:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
@@ -26,6 +26,9 @@
 # An attempt whose entry was given its end is kept this long, in seconds, in
 # case that was lost: an entry asks again for 2 s (RELINK_S of attempt.py).
 GIVEN_S = 5.0
+# A stop waits this long, in seconds, for an entry to ask again for an end that
+# was lost with its connection; it does after 0.1 s (RELINK_PAUSE_S there).
+LOST_END_S = 1.0
 BUSY_RETRY_MS = 200
 
 
@@ -237,6 +240,15 @@
             elif silent_s > (GIVEN_S if stream.released else ORPHAN_S):
                 del self.by_attempt[attempt]
 
+    def unfetched(self) -> bool:
+        """Tell whether a stop has to wait for an entry to fetch an answer."""
+        now = self._clock.monotonic()
+        return any(
+            now - stream.pulled_at
+            < (LOST_END_S if stream.released else ORPHAN_S)
+            for stream in self.by_attempt.values()
+        )
+
     def _give_up(self, stream: Stream) -> None:
         """Stop an attempt that nobody waits for any more.
 
