--- a/features/platform_clients.py
+++ b/features/platform_clients.py
@@ -10,6 +10,7 @@
 
 import httpx
 import hypothesis
+from twisted.internet import defer, reactor
 
 from standins import process
 
@@ -105,3 +106,23 @@
     """Return the settings of an entry and the path of their file."""
     path = made.dir / f"{entry}.json"
     return json.loads(path.read_text()), path
+
+
+def run_on_reactor(call, *arguments, **options):
+    """Run a call on the reactor until it has ended; return its error too."""
+    found = []
+
+    async def run():
+        try:
+            found.append(await call(*arguments, **options))
+        except Exception as bad:
+            found.append(bad)
+
+    defer.ensureDeferred(run())
+    end = time.monotonic() + 20
+    if not reactor.running:
+        reactor.startRunning(installSignalHandlers=False)
+    while not found and time.monotonic() < end:
+        reactor.iterate(0.01)
+    assert found, "the call has not ended"
+    return found[0]
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -280,62 +280,56 @@
     )
 
 
-def _await(call, *arguments, **options):
-    """Run a call of the client on the reactor until it has ended."""
-    found = []
-
-    async def run():
-        try:
-            found.append(await call(*arguments, **options))
-        except Exception as bad:
-            found.append(bad)
-
-    defer.ensureDeferred(run())
-    end = time.monotonic() + 20
-    if not reactor.running:
-        reactor.startRunning(installSignalHandlers=False)
-    while not found and time.monotonic() < end:
-        reactor.iterate(0.01)
-    assert found, "the call has not ended"
-    return found[0]
-
-
 @then("an append at the wrong place is refused and adds nothing")
 def _(context):
     store = context.store
-    assert _await(store.append, "t", 0, [b"one", b"two"], at=0) == 0
-    refused = _await(store.append, "t", 0, [b"no"], at=0)
+    assert (
+        clients.run_on_reactor(store.append, "t", 0, [b"one", b"two"], at=0)
+        == 0
+    )
+    refused = clients.run_on_reactor(store.append, "t", 0, [b"no"], at=0)
     assert isinstance(refused, error.CodedError), refused
     assert refused.code == "log-conflict", refused
-    got = _await(store.read, "t", 0, 0, wait_s=0)
+    got = clients.run_on_reactor(store.read, "t", 0, 0, wait_s=0)
     assert (got.rows, got.end) == ([b"one", b"two"], 2), got
 
 
 @then("an append of an older epoch is refused")
 def _(context):
     store = context.store
-    assert _await(store.append, "t", 1, [b"a"], producer=("w", 5, 1)) == 0
-    refused = _await(store.append, "t", 1, [b"b"], producer=("w", 4, 9))
+    assert (
+        clients.run_on_reactor(
+            store.append, "t", 1, [b"a"], producer=("w", 5, 1)
+        )
+        == 0
+    )
+    refused = clients.run_on_reactor(
+        store.append, "t", 1, [b"b"], producer=("w", 4, 9)
+    )
     assert getattr(refused, "code", "") == "log-conflict", refused
 
 
 @then("a repeated append of a producer is taken once")
 def _(context):
     store = context.store
-    first = _await(store.append, "t", 2, [b"a"], producer=("w", 1, 1))
-    again = _await(store.append, "t", 2, [b"a"], producer=("w", 1, 1))
+    first = clients.run_on_reactor(
+        store.append, "t", 2, [b"a"], producer=("w", 1, 1)
+    )
+    again = clients.run_on_reactor(
+        store.append, "t", 2, [b"a"], producer=("w", 1, 1)
+    )
     assert first == again == 0, (first, again)
-    assert _await(store.read, "t", 2, 0, wait_s=0).end == 1
+    assert clients.run_on_reactor(store.read, "t", 2, 0, wait_s=0).end == 1
 
 
 @then("a read waits for a record and gets it")
 def _(context):
     store = context.store
     reading = defer.ensureDeferred(store.read("t", 3, 0, wait_s=10))
-    _await(lambda: task.deferLater(reactor, 0.2))
+    clients.run_on_reactor(lambda: task.deferLater(reactor, 0.2))
     assert not reading.called
-    _await(store.append, "t", 3, [b"late"])
-    _await(lambda: reading)
+    clients.run_on_reactor(store.append, "t", 3, [b"late"])
+    clients.run_on_reactor(lambda: reading)
     assert reading.called
 
 
@@ -343,7 +337,7 @@
 def _(context):
     store = context.store
     context.cluster.control(drop=True)
-    gone = _await(store.read, "t", 0, 0, wait_s=0)
+    gone = clients.run_on_reactor(store.read, "t", 0, 0, wait_s=0)
     assert isinstance(gone, stores.GoneError), gone
     assert gone.first == 2, gone.first
 
@@ -353,9 +347,11 @@
     store = context.store
     count = standin.PAGE + 20
     rows = [stores.keyed(f"k{n:04}", b"v%d" % n) for n in range(count)]
-    _await(store.append, "keyed.t", 0, rows)
-    _await(store.append, "keyed.t", 0, [stores.keyed("k0001", None)])
-    got = _await(store.newest, "keyed.t")
+    clients.run_on_reactor(store.append, "keyed.t", 0, rows)
+    clients.run_on_reactor(
+        store.append, "keyed.t", 0, [stores.keyed("k0001", None)]
+    )
+    got = clients.run_on_reactor(store.newest, "keyed.t")
     names = [row.key for _, row in got.rows]
     assert len(names) == count - 1, len(names)
     assert "k0001" not in names
@@ -367,7 +363,9 @@
     store = context.store
     parts = []
     for name in ("one", "two", "one"):
-        got = _await(store.join, "g", name, ["t"], ttl_s=3.0, generation=0)
+        got = clients.run_on_reactor(
+            store.join, "g", name, ["t"], ttl_s=3.0, generation=0
+        )
         parts.append({row[1] for row in got.parts})
     assert parts[1] & parts[2] == set(), parts
     assert len(parts[1] | parts[2]) == 24, parts
