Open another connection for a link that has gone silent

Cause: a link kept its connection for as long as nobody closed it. One that went silent lost every later call at its time-out, for good: an entry could no longer take the state of a peer, an agent no longer order another's rank.

Ruled out: the kernel's probes alone, since they may still be answered. Closing the connection at the first time-out, as other calls on it may only wait for a slow answer. Sending a lost call again by itself: it may be an order, and only its caller knows whether it may run twice.

Change: a call that times out while nothing else was heard on its connection since it began retires that connection: the next call opens another, and the old one closes when the last call on it has ended. A connection that carries no call and on which nothing was heard for 1 s is not used again either.

--- a/packages/reelscale-wire/src/reelscale_wire/link.py
+++ b/packages/reelscale-wire/src/reelscale_wire/link.py
@@ -2,11 +2,16 @@
 
 Calls fail in one of two ways that a caller must tell apart: the message
 was never written to a socket, or it was and its answer is unknown.
+
+A connection may go silent for good without a reset, while new ones work.  So
+one on which a call had no answer, and nothing else was heard meanwhile, gets
+no more calls; what is in progress on it may still end.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+from collections.abc import Callable
 from typing import Any
 
 from thrift.protocol import TCompactProtocol
@@ -21,6 +26,9 @@
 # A peer whose connection is being closed is given so many seconds to close
 # its half; some round trips, and little beside a grace time.
 LINGER_S = 0.5
+# A connection on which nothing was sent or heard for longer than this many
+# seconds may have gone silent meanwhile; opening another takes some ms.
+IDLE_MOST_S = 1.0
 CODEC = TCompactProtocol.TCompactProtocolAcceleratedFactory
 
 
@@ -45,18 +53,78 @@
 
 
 class ClientProtocol(TTwisted.ThriftClientProtocol):
-    """The calling side; sends small frames at once."""
+    """The calling side; sends small frames at once.
+
+    Attributes:
+      heard_at: Time of the reactor at which an answer came last, or at which
+        the connection was made.
+      calls: Calls in progress on it.
+      retired: Whether it gets no more calls.
+    """
 
-    def __init__(self, closed: Any) -> None:
+    def __init__(
+        self, *, reactor: IReactorTime, closed: Callable[[], None]
+    ) -> None:
         """Make a protocol that calls closed() when its connection ends."""
         super().__init__(Peer.Client, CODEC())
+        self.heard_at = 0.0
+        self.calls = 0
+        self.retired = False
+        self._reactor = reactor
         self._closed = closed
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start the client and send without delay."""
         self.transport.setTcpNoDelay(True)
+        self.heard_at = self._reactor.seconds()
         super().connectionMade()
 
+    def stringReceived(self, frame: bytes) -> None:  # noqa: N802
+        """Take an answer."""
+        self.heard_at = self._reactor.seconds()
+        super().stringReceived(frame)
+
+    async def call(
+        self, method: str, argument: Any, *, timeout_s: float
+    ) -> Any:
+        """Call a method of the peer and return what it answers.
+
+        Raises:
+          Exception: No answer came.
+        """
+        began_at = self._reactor.seconds()
+        self.calls += 1
+        try:
+            answer = getattr(self.client, method)(argument)
+            answer.addTimeout(timeout_s, self._reactor)
+            return await answer
+        except (defer.TimeoutError, defer.CancelledError):
+            self.retired = self.retired or self.heard_at <= began_at
+            raise
+        finally:
+            self.calls -= 1
+            self._end_if_done()
+
+    @property
+    def fit(self) -> bool:
+        """Whether another call may be sent on it.
+
+        One that carries no call may have gone silent unnoticed.
+        """
+        if self.retired:
+            return False
+        idle_s = self._reactor.seconds() - self.heard_at
+        return self.calls > 0 or idle_s < IDLE_MOST_S
+
+    def retire(self) -> None:
+        """Take no more calls; close once none is in progress."""
+        self.retired = True
+        self._end_if_done()
+
+    def _end_if_done(self) -> None:
+        if self.retired and not self.calls and self.transport is not None:
+            self.transport.abortConnection()
+
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Fail all calls in progress."""
         self._closed()
@@ -155,8 +223,8 @@
         self.address = address
         self.cut = False
         self._reactor = reactor
-        self._client: Any = None
         self._protocol: ClientProtocol | None = None
+        self._retired: set[ClientProtocol] = set()
         self._waiting: list[defer.Deferred] = []
         self._connecting = False
         self._refused = False
@@ -164,7 +232,7 @@
     @property
     def connected(self) -> bool:
         """Whether the connection stands."""
-        return self._client is not None
+        return self._protocol is not None
 
     async def call(
         self, method: str, argument: Any, *, timeout_s: float
@@ -179,12 +247,10 @@
         Raises:
           LinkError: No answer came; written tells what that means.
         """
-        if self._client is None:
-            await self._connect(method)
+        self._drop_unfit()
+        used = self._protocol or await self._connect(method)
         try:
-            answer = getattr(self._client, method)(argument)
-            answer.addTimeout(timeout_s, self._reactor)
-            return await answer
+            return await used.call(method, argument, timeout_s=timeout_s)
         except Exception as lost:
             raise LinkError(
                 peer=self.address, step=method, written=True
@@ -197,11 +263,20 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection; the next call opens another."""
-        if self._protocol is not None and self._protocol.transport:
-            self._protocol.transport.abortConnection()
-
-    async def _connect(self, method: str) -> None:
+        """Close all its connections; the next call opens another."""
+        for item in (self._protocol, *self._retired):
+            if item is not None and item.transport:
+                item.transport.abortConnection()
+
+    def _drop_unfit(self) -> None:
+        """Let go of a connection that may be silent."""
+        old = self._protocol
+        if old is not None and not old.fit:
+            self._protocol = None
+            self._retired.add(old)
+            old.retire()
+
+    async def _connect(self, method: str) -> ClientProtocol:
         """Join the attempt to connect in progress, or start one."""
         waiter: defer.Deferred = defer.Deferred()
         self._waiting.append(waiter)
@@ -209,38 +284,40 @@
             self._connecting = True
             defer.ensureDeferred(self._open())
         await waiter
-        if self._client is None:
+        if self._protocol is None:
             raise LinkError(
                 peer=self.address,
                 step=method,
                 written=False,
                 refused=self._refused,
             )
+        return self._protocol
 
     async def _open(self) -> None:
         host, port = self.address.rsplit(":", 1)
         point = endpoints.TCP4ClientEndpoint(
             self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
         )
-        made = ClientProtocol(self._closed)
+        made = ClientProtocol(
+            reactor=self._reactor, closed=lambda: self._closed(made)
+        )
         try:
             if self.cut:
                 raise error.TimeoutError()
             await endpoints.connectProtocol(point, made)
             self._protocol = made
-            self._client = made.client
             self._refused = False
         except Exception as failed:
-            self._client = None
             self._refused = isinstance(failed, error.ConnectionRefusedError)
         self._connecting = False
         waiting, self._waiting = self._waiting, []
         for waiter in waiting:
             waiter.callback(None)
 
-    def _closed(self) -> None:
-        self._client = None
-        self._protocol = None
+    def _closed(self, gone: ClientProtocol) -> None:
+        self._retired.discard(gone)
+        if self._protocol is gone:
+            self._protocol = None
 
 
 class Links:
