End a repeatable exchange whose kept connection has gone silent

Cause: nothing but the kernel's probes looked at a connection to an upstream that gave no answer. Where the kernel still acknowledges, a request that may be repeated waited out its route's time and ended with 504, and the next one took another silent connection. A call to the store or to a rank that timed out left the other silent connections for the calls after it.

Ruled out: a fixed time-out on every exchange, since a slow upstream would get its work twice and the retry budget would be spent on it. A probe, which shows that the upstream lives and not that the connection does. Shorter idle times, which cost channels all the time and only make it less likely.

Change: an exchange on a kept connection that may be repeated is judged when no byte of an answer has come after 1 s, or three times the longest of the peer's last 32 answers. One exchange with a peer is ended on suspicion; others only once the peer has answered on a connection opened after that. Idle connections on which nothing came since are closed, so that what follows opens new ones, and no exchange is watched for 5 s. The request goes on as after a broken connection: by the route's attempts, out of the retry budget. The loop reads what has come before it judges, as timers run first in a process that stood still. A call of our own that times out without a byte closes the connections to that peer that were idle meanwhile. What must not run twice is never watched.

--- a/features/platform_silent.feature
+++ b/features/platform_silent.feature
@@ -7,8 +7,8 @@
     When the open connections to the store go silent, <way>
     And the operator replaces the keys by "fresh-key"
     Then the key "fresh-key" is served within 3 s
-    When the operator replaces the keys by "last-key"
-    Then the key "last-key" is served within 3 s
+    When the operator replaces the keys by "key-of-acme"
+    Then the key "key-of-acme" is served within 3 s
     When the worker "w3" is leaving
     Then requests to "/push/x" run at "w4" alone within 3 s
 
@@ -109,6 +109,11 @@
     When 6 requests are sent at once to workers that have stopped for 2 s
     Then at most 2 of them ran twice and all are served
 
+  Scenario: An entry that stood still itself misses no answer that has come
+    Given a fleet whose workers are reached through relays
+    When an entry stands still for 1.3 s while the answer to "/read/x" comes
+    Then that request is served and ran once
+
   Scenario Outline: Connections of callers are silent (<way>)
     Given a fleet whose entry is reached through a relay
     And connections end after 1 s without a request
--- a/features/steps/platform_silent_steps.py
+++ b/features/steps/platform_silent_steps.py
@@ -374,6 +374,37 @@
     assert len(twice) <= count, twice
 
 
+@when(
+    "an entry stands still for {seconds:f} s while the answer to"
+    ' "{path}" comes'
+)
+def _(context, seconds, path):
+    made = context.cluster
+    stopped = [made.processes[name] for name in made.workers]
+    wanted = made.next_id()
+    for item in stopped:
+        item.freeze()
+    with concurrent.futures.ThreadPoolExecutor(1) as threads:
+        asked = threads.submit(made.ask, path, method="GET", Request_Id=wanted)
+        # The request is in the workers' kernel by then.
+        time.sleep(SLACK_S)
+        made.processes["f1"].freeze()
+        start = time.monotonic()
+        for item in stopped:
+            item.thaw()
+        process.wait_for(lambda: made.runs_of(wanted), "the worker's run")
+        time.sleep(max(0.0, start + seconds - time.monotonic()))
+        made.processes["f1"].thaw()
+        context.answer = asked.result()
+    context.id = wanted
+
+
+@then("that request is served and ran once")
+def _(context):
+    assert context.answer.status_code == 200, context.answer
+    assert len(context.cluster.runs_of(context.id)) == 1, context.id
+
+
 # Callers.
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/fetch.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/fetch.py
@@ -32,11 +32,22 @@
     *,
     reactor: Any,
     timeout_s: float,
+    anew: bool = False,
 ) -> Fetched:
     """Send a request and read its whole answer.
 
     A request on a kept connection that breaks without an answer is not sent
-    again: the caller knows whether it may be.
+    again: the caller knows whether it may be.  If no byte of an answer came
+    in time, the connection may have gone silent, and so may the others to
+    that peer that were idle meanwhile: they are closed.
+
+    Args:
+      connections: The pool.
+      address: "ip:port" of the peer.
+      request: The request.
+      reactor: The loop.
+      timeout_s: How long the whole may take.
+      anew: Whether a connection is opened for it.
 
     Raises:
       ExchangeError: No whole answer came; "timeout" after timeout_s.
@@ -44,7 +55,9 @@
     used: list[connection.Connection] = []
 
     async def run() -> Fetched:
-        conn = await connections.acquire(address)
+        conn = await connections.acquire(
+            address, idle_most_s=0.0 if anew else None, watched=False
+        )
         used.append(conn)
         conn.send(request)
         head = await conn.head()
@@ -63,6 +76,9 @@
     try:
         return await asked
     except (defer.TimeoutError, defer.CancelledError) as late:
+        for conn in used:
+            if not conn.answering:
+                connections.close_unheard(conn)
         raise connection.ExchangeError(
             "timeout", peer=address, written=bool(used)
         ) from late
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
@@ -8,7 +8,7 @@
 from reelscale_core import clock
 from twisted.internet import endpoints
 
-from . import connection
+from . import connection, silence
 
 # A peer in the same region that does not accept within this time, in
 # seconds, is taken as out of reach; a lost opening packet costs one second.
@@ -24,6 +24,9 @@
         self._idle_by_address: dict[str, list[connection.Connection]] = {}
         self.open_by_address: dict[str, int] = {}
         self.opened = 0
+        self._silences = silence.Silences(
+            clock=clock, on_silent=self._close_unheard
+        )
 
     async def acquire(
         self,
@@ -31,6 +34,7 @@
         *,
         idle_most_s: float | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        watched: bool | None = None,
     ) -> connection.Connection:
         """Return a connection for one exchange, opened if none is idle.
 
@@ -38,12 +42,18 @@
           address: "ip:port" of the peer.
           idle_most_s: Take no connection that was idle for longer.
           connect_timeout_s: How long opening one may take.
+          watched: Whether the exchange ends when the connection seems to
+            have gone silent; only for what may be sent again.  By default
+            where idle_most_s is None, as callers that do not limit it say
+            that a broken exchange does no harm.
 
         Raises:
           ExchangeError: "unreachable"; the peer got nothing.
         """
         kept = self._take_idle(address, idle_most_s)
         if kept is not None:
+            wanted = idle_most_s is None if watched is None else watched
+            kept.watched = wanted and not self._silences.resting
             return kept
         return await self._open(address, connect_timeout_s)
 
@@ -59,6 +69,26 @@
         for item in self._idle_by_address.pop(address, []):
             item.abort()
 
+    def close_unheard(self, silent: connection.Connection) -> None:
+        """Close the idle connections to the peer of a silent one.
+
+        Those stay on which something came after its exchange had begun.
+        """
+        self._close_since(silent.address, silent.begun_at)
+
+    def _close_unheard(self, since: float) -> None:
+        """Close the idle connections to all peers that were not heard since.
+
+        What silenced one connection may have silenced all that were open.
+        """
+        for address in list(self._idle_by_address):
+            self._close_since(address, since)
+
+    def _close_since(self, address: str, since: float) -> None:
+        for item in list(self._idle_by_address.get(address, ())):
+            if item.idle_since <= since:
+                item.abort()
+
     def _take_idle(
         self, address: str, idle_most_s: float | None
     ) -> connection.Connection | None:
@@ -83,7 +113,12 @@
         point = endpoints.TCP4ClientEndpoint(
             self._reactor, host, int(port), timeout=timeout_s
         )
-        made = connection.Connection(address=address, on_lost=self._lost)
+        made = connection.Connection(
+            reactor=self._reactor,
+            address=address,
+            silences=self._silences,
+            on_lost=self._lost,
+        )
         self.open_by_address[address] = self.count(address) + 1
         try:
             await endpoints.connectProtocol(point, made)
@@ -111,3 +146,4 @@
             self.open_by_address[address] = left
         else:
             self.open_by_address.pop(address, None)
+            self._silences.forget(address)
