Judge silence less hastily after a pause and despite one late answer

Cause: two faults of the judgement of silent connections. An upstream that stood still and goes on answers newer and older requests at about the same time; the first answer on a new connection ended the older exchanges at once, so more of them ran twice than were suspected. And the allowance was three times the longest of the last 32 answers, so that one answer that was held up hid a silence from then on.

Ruled out: dropping the proof by newer connections, since then one exchange at a time would end and the others wait. A cap on the allowance, since an upstream whose answers always begin late would always be suspected.

Change: after the proof the older exchanges have 0.5 s more. The allowance is four times what three in four of the last 32 answers took at most, and 1 s at least. Scenarios on the judgement by itself, with a clock that is put.

The scenario on the judgement fails with no time after the proof.

--- a/features/platform_silent.feature
+++ b/features/platform_silent.feature
@@ -109,6 +109,18 @@
     When 6 requests are sent at once to workers that have stopped for 2 s
     Then at most 2 of them ran twice and all are served
 
+  Scenario: Of many exchanges without an answer one ends on suspicion
+    Given 5 exchanges with a peer that began at 0 s and one of another peer
+    Then at 1.0 s one exchange of each peer ends
+    And at 2.0 s no other does
+    When an answer begins at 2.1 s on a connection opened at 1.2 s
+    Then at 2.2 s no other does
+    And at 2.7 s all others of that peer end
+
+  Scenario: A peer whose answers take long to begin is given longer
+    Given a peer whose answers took 0.1, 0.2, 0.5 and 3.0 s to begin
+    Then its answers may take 2.0 s to begin and those of others 1.0 s
+
   Scenario: An entry that stood still itself misses no answer that has come
     Given a fleet whose workers are reached through relays
     When an entry stands still for 1.3 s while the answer to "/read/x" comes
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/silence.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/silence.py
@@ -12,7 +12,7 @@
 
 import collections
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from reelscale_core import clock
 
@@ -20,11 +20,16 @@
 # in seconds, before the connection may count as silent; clients wait as long
 # for one that takes no request.
 FIRST_BYTE_S = 1.0
-# A peer is given so many times the longest that its latest answers took to
-# begin, if that is more.
-SLOWNESS = 3.0
+# A peer is given so many times what three in four of its latest answers took
+# to begin at most, if that is more.  The longest of all would let one answer
+# that was held up hide a silence.
+SLOWNESS = 4.0
 # Answers of a peer that are remembered for that.
 REMEMBERED = 32
+# After a peer was seen to answer on a newer connection, older exchanges have
+# this long left, in seconds: one that stood still and goes on answers what it
+# got first at about the same time.
+PROOF_S = 0.5
 # For so long after connections were found silent, in seconds, no exchange is
 # watched: of the idle connections only those that were heard since are left.
 REST_S = 5.0
@@ -40,6 +45,18 @@
     begun_at: float
 
 
+class Proof(NamedTuple):
+    """A suspicion that was borne out.
+
+    Attributes:
+      suspected_at: When the connection was suspected, in monotonic seconds.
+      seen_at: When an answer began on one that was opened after that.
+    """
+
+    suspected_at: float
+    seen_at: float
+
+
 class Silences:
     """What a pool knows of the silence of its connections."""
 
@@ -57,7 +74,7 @@
         self._on_silent = on_silent
         self._took_by_address: dict[str, collections.deque[float]] = {}
         self._suspected_at: dict[str, float] = {}
-        self._proved_at: dict[str, float] = {}
+        self._proof_by_address: dict[str, Proof] = {}
         self._found_at = float("-inf")
 
     def now(self) -> float:
@@ -71,8 +88,9 @@
 
     def allowance_s(self, address: str) -> float:
         """Return how long a peer's answer may take to begin."""
-        longest_s = max(self._took_by_address.get(address, (0.0,)))
-        return max(FIRST_BYTE_S, SLOWNESS * longest_s)
+        took = sorted(self._took_by_address.get(address, (0.0,)))
+        usual_s = took[3 * (len(took) - 1) // 4]
+        return max(FIRST_BYTE_S, SLOWNESS * usual_s)
 
     def note_first_byte(self, conn: Watched) -> None:
         """Note that an answer has begun."""
@@ -84,14 +102,15 @@
         suspected_at = self._suspected_at.get(address)
         if suspected_at is not None and conn.opened_at > suspected_at:
             del self._suspected_at[address]
-            self._proved_at[address] = suspected_at
+            self._proof_by_address[address] = Proof(suspected_at, self.now())
 
     def ends(self, conn: Watched) -> bool:
         """Tell whether an exchange in which nothing came is to be ended."""
         now = self.now()
         address = conn.address
-        if conn.begun_at <= self._proved_at.get(address, float("-inf")):
-            return True
+        proof = self._proof_by_address.get(address)
+        if proof is not None and conn.begun_at <= proof.suspected_at:
+            return now >= proof.seen_at + PROOF_S
         suspected_at = self._suspected_at.get(address, float("-inf"))
         if now < suspected_at + SUSPECTED_S:
             return False
@@ -104,6 +123,6 @@
         for by_address in (
             self._took_by_address,
             self._suspected_at,
-            self._proved_at,
+            self._proof_by_address,
         ):
             by_address.pop(address, None)
