--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -25,7 +25,7 @@
 RETRY_S = 0.25
 # Seconds for which a read waits at the log for something new.  An answer
 # that is lost makes a process deaf for this long and the client's margin of
-# 0.75 s; together they are to be less than the 3 s for which the log must
+# 0.3 s; together they are to be less than the 3 s for which the log must
 # have been sound before a configuration has to be in force.
 POLL_S = 2.2
 PEER_TIMEOUT_S = 2.0
