Give the peer of a test its reactor, and read only whole lines of a log

Change: the step passes the reactor; the fleet's log_lines leaves a line out that is not whole yet.

Seen: the first scenario passes alone.

--- a/features/steps/platform_silent_steps.py
+++ b/features/steps/platform_silent_steps.py
@@ -228,7 +228,7 @@
 
 @given("a peer that answers its first two calls late")
 def _(context):
-    context.server = link.Server(handler=_SlowPeer())
+    context.server = link.Server(handler=_SlowPeer(), reactor=reactor)
     port = reactor.listenTCP(0, context.server, interface="127.0.0.1")
     context.add_cleanup(port.stopListening)
     address = f"127.0.0.1:{port.getHost().port}"
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -202,9 +202,13 @@
                 print(f"--- {process.name}\n{text}", file=sys.stderr)
 
     def log_lines(self, name: str) -> list[dict[str, Any]]:
-        """Return the lines of a process's log, decoded."""
-        lines = self.processes[name].log.read_text().splitlines()
-        return [json.loads(line) for line in lines]
+        """Return the whole lines of a process's log, decoded.
+
+        The last may be read while it is written, and is then left out.
+        """
+        text = self.processes[name].log.read_text()
+        whole, _, _ = text.rpartition("\n")
+        return [json.loads(line) for line in whole.splitlines()]
 
     # The store.
 
