Show what ends of connections cost callers who have not read yet

A caller who asks again before it has read its answers loses some of them as its connection is closed: the close finds unread bytes and becomes a reset. Ruled out: that a stop alone does it. Six scenarios on other ends of a connection: a request behind the last answer on our own interface, uploads behind it, what is no HTTP, a head that is too long, a stream that breaks off, and a closing connection whose caller never reads. Change: the scenarios, without the mend.

--- /dev/null
+++ b/features/steps/closing_steps.py
@@ -0,0 +1,167 @@
+"""Steps on connections that end while their caller still sends."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import json
+import re
+import signal
+import socket
+import threading
+import time
+
+from behave import given, then, when
+
+from features import slow_callers as slow
+from standins import fleet, process
+
+MEGABYTE = 1_000_000
+UPLOADS = 4
+JUNK = b"x" * 4 * MEGABYTE
+
+
+@given("a fleet of its own whose streams cannot go on elsewhere")
+def _(context):
+    made = fleet.Fleet()
+    made.config["routes"][0]["resumable"] = False
+    context.cluster = made.__enter__()
+
+
+def _send_and_read(context, data):
+    """Send bytes from a thread, as reading makes room; read to the end."""
+
+    def send():
+        try:
+            context.sock.sendall(data)
+        except OSError as failed:
+            print("could not send it all:", failed)
+
+    sender = threading.Thread(target=send)
+    sender.start()
+    context.read = slow.read_all(context.sock)
+    sender.join(slow.READ_TIMEOUT_S)
+
+
+def _head(context, method, path, **more):
+    headers = {**context.cluster.headers(), **more}
+    host = headers.pop("Host")
+    return slow.head(method, path, host, headers)
+
+
+@when("the entry is told to stop and its caller uploads 4 MB, then reads")
+def _(context):
+    context.cluster.processes["f1"].signal(signal.SIGTERM)
+    head = _head(context, "POST", "/read/up", **{"Content-Length": "1000000"})
+    _send_and_read(context, (head + b"x" * MEGABYTE) * UPLOADS)
+
+
+@when("its caller sends what is no request and 4 MB more, then reads")
+def _(context):
+    behind = _head(context, "POST", "/push/behind", **{"Content-Length": "0"})
+    data = b"no request\r\n\r\n" + behind + JUNK
+    _send_and_read(context, data)
+
+
+@when("its caller sends a head of 4 MB, then reads")
+def _(context):
+    behind = _head(context, "POST", "/push/behind", **{"Content-Length": "0"})
+    head = b"GET /read/x HTTP/1.1\r\nHost: api.example\r\nLong: "
+    _send_and_read(context, head + JUNK + b"\r\n\r\n" + behind)
+
+
+@when("its caller asks for a stream that breaks off, then reads")
+def _(context):
+    made = context.cluster
+    for name, (service, _) in made.workers.items():
+        if service == "llm":
+            made.set_faulty(name, True)
+    headers = {"Content-Length": "0"}
+    head = _head(context, "POST", "/chat/cut/x", **headers)
+    context.sock.sendall(head)
+
+    def broken():
+        rows = made.log_lines("f1")
+        return any(row["text"] == "An answer broke off." for row in rows)
+
+    process.wait_for(broken, "the stream to break off")
+    context.read = slow.read_all(context.sock)
+
+
+@when("its caller sends what is no request and 4 MB more, and never reads")
+def _(context):
+    context.sock.settimeout(1)
+    try:
+        context.sock.sendall(b"no request\r\n\r\n" + JUNK)
+    except TimeoutError:
+        pass
+
+
+@when("its entry is told to stop and its caller asks once more, then reads")
+def _(context):
+    made = context.cluster
+    entry = made.entries[0][0]
+    address = made.http[entry].removeprefix("http://")
+    made.processes[entry].signal(signal.SIGTERM)
+    slow.wait_refused(address)
+    asked = {"model": "m1", "prompt": "one", "max_tokens": 1}
+    body = json.dumps(asked).encode()
+    headers = {**made.headers(), "Content-Length": str(len(body))}
+    head = slow.head("POST", "/v1/completions", address, headers)
+    context.sock.sendall(head + body)
+    context.read = slow.read_all(context.sock)
+
+
+def _behind(context, size):
+    """Return what was read behind the answers of the first requests."""
+    return context.read.rpartition(b"x" * size)[2]
+
+
+@then("the request that crossed is refused as not run, and no worker ran it")
+def _(context):
+    answer = _behind(context, 1000)
+    assert answer.startswith(b"HTTP/1.1 503"), answer
+    assert b"connection: close" in answer.lower(), answer
+    assert b"retry-after: 0" in answer.lower(), answer
+    assert answer.count(b"HTTP/1.1") == 1, answer
+    ran = [r for r in context.cluster.ledger() if r["path"] == "/read/x"]
+    assert not ran, ran
+
+
+@then("the caller gets all {size:d} MB and a refusal behind them")
+def _(context, size):
+    head, _, rest = context.read.partition(b"\r\n\r\n")
+    length = int(re.search(rb"content-length: (\d+)", head.lower())[1])
+    text = json.loads(rest[:length])["choices"][0]["text"]
+    assert len(text) == size * MEGABYTE, len(text)
+    refusal = rest[length:]
+    assert refusal.startswith(b"HTTP/1.1 503"), refusal
+    assert b"outcome: not-run" in refusal.lower(), refusal
+
+
+@then("the last answer has status {status:d} and nothing behind it ran")
+def _(context, status):
+    answer = _behind(context, 1000)
+    assert answer.startswith(b"HTTP/1.1 %d" % status), answer
+    assert answer.count(b"HTTP/1.1") == 1, answer
+    ran = [r for r in context.cluster.ledger() if "behind" in r["path"]]
+    assert not ran, ran
+
+
+@then("the stream has no end")
+def _(context):
+    answer = _behind(context, 1000)
+    assert answer.startswith(b"HTTP/1.1 200"), answer
+    assert answer.count(b"HTTP/1.1") == 1, answer
+    assert b"transfer-encoding: chunked" in answer.lower(), answer
+    assert not answer.endswith(b"0\r\n\r\n"), answer
+
+
+@then("its connection is reset within {limit:d} s")
+def _(context, limit):
+    def lost():
+        error = context.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return error != 0
+
+    began_at = time.monotonic()
+    process.wait_for(lost, "the connection to be reset", limit)
+    print(f"reset after {time.monotonic() - began_at:.1f} s")
