--- a/features/holder_fakes.py
+++ b/features/holder_fakes.py
@@ -5,7 +5,7 @@
 
 import types
 
-from reelscale_core import rank
+from reelscale_core import clock, rank
 from reelscale_daemon.controllers import group, told_ranks
 from twisted.internet import task
 
@@ -75,6 +75,7 @@
     )
     context.group = group.Group(
         reactor=context.clock,
+        clock=clock.FakeClock(),
         reach=context.ranks,
         ranks=context.ranks,
         engines=engines or Engines(),
--- /dev/null
+++ b/features/platform_directory.py
@@ -0,0 +1,124 @@
+"""The list of upstreams in this process, over a store that a test writes."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import json
+import types
+
+from reelscale_core import clock
+from reelscale_daemon import metrics
+from reelscale_daemon.controllers import directory, usage
+from reelscale_platform import roster
+from reelscale_platform import store as stores
+from twisted.internet import defer, task
+
+ENTRY = {
+    "service": "push",
+    "addr": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 1,
+}
+
+
+def entry(**fields):
+    """Return a sound entry as bytes, with some fields set; None drops one."""
+    data = {**ENTRY, **fields}
+    whole = {name: value for name, value in data.items() if value is not None}
+    return json.dumps(whole).encode()
+
+
+def record(name, value):
+    """Return a record of the list."""
+    return stores.keyed(name, value)
+
+
+class Store:
+    """A store that gives what a test has written since the last read."""
+
+    def __init__(self):
+        self.records = []
+        self.failing = []
+
+    async def newest(self, topic, part=0):
+        """Return all records so far, as if each had its own key."""
+        rows = [(n, stores.parse_keyed(r)) for n, r in enumerate(self.records)]
+        return stores.Newest(rows, len(self.records))
+
+    async def read(self, topic, part, from_offset, *, wait_s):
+        """Return the records from an offset on, or fail as was asked."""
+        if self.failing:
+            raise self.failing.pop(0)
+        rows = self.records[from_offset:]
+        return stores.Records(len(self.records), 0, rows)
+
+
+class Connections:
+    """Kept connections; notes whose were closed."""
+
+    def __init__(self):
+        self.closed = []
+
+    def close_idle(self, address):
+        """Note an address."""
+        self.closed.append(address)
+
+
+class Listing:
+    """An entry's directory and what it stands on."""
+
+    def __init__(self):
+        self.reactor, self.clock = task.Clock(), clock.FakeClock()
+        self.store, self.connections = Store(), Connections()
+        self.metrics = metrics.Metrics()
+        self.usage = usage.Usage(
+            reactor=self.reactor,
+            clock=self.clock,
+            name="f1",
+            incarnation="i1",
+            address="127.0.0.1:9",
+            peers=(),
+            counts=dict,
+            peer="127.0.0.1:8",
+            offset=lambda: 0,
+            roster_offset=lambda: 0,
+        )
+        self.directory = directory.Directory(
+            reactor=self.reactor,
+            clock=self.clock,
+            roster=roster.Roster(store=self.store),
+            connections=self.connections,
+            usage=self.usage,
+            lists=types.SimpleNamespace(ask_some=_nothing, asking=False),
+            poll_s=lambda: 0.0,
+            name="f1",
+            metrics=self.metrics,
+        )
+        # A first record of another, since offset 0 asks for the whole list.
+        self.write("other", entry(addr="10.0.0.9:80"))
+        self.running = defer.ensureDeferred(self.directory.run())
+        self.pass_time(1.0)
+
+    def write(self, name, value):
+        """Write a record under a name."""
+        self.store.records.append(record(name, value))
+
+    def pass_time(self, seconds):
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            self.reactor.advance(0.1)
+
+    def listed(self):
+        """Return the names of the upstreams that may get work."""
+        views = self.directory.views_by_name.values()
+        return {v.upstream.name for v in views if v.serves("push")}
+
+
+async def _nothing():
+    """Know no list."""
+    return None
--- /dev/null
+++ b/features/steps/rank_starts_steps.py
@@ -0,0 +1,198 @@
+"""Steps on ranks that start again while their layout is changed."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import types
+
+from behave import given, then, when
+from reelscale_core import clock, demand, rank
+from reelscale_daemon import rank_wire
+from reelscale_daemon.controllers import told_ranks
+from twisted.internet import defer
+
+from features import holder_fakes
+
+BORN_MS = 1000
+
+
+class Ranks(holder_fakes.Ranks):
+    """Two ranks, of which one starts again after some orders.
+
+    Attributes:
+      unfenced: Orders to a start that had seen no fence before, though the
+        holder had heard of it.
+      unprepared: Orders to arm for what a start had not prepared, of which the
+        holder had heard; such an order is refused.
+    """
+
+    def __init__(self, name, after, *, told):
+        super().__init__()
+        self.silent_looks = 0
+        self.unfenced, self.unprepared = [], []
+        self._name, self._left, self._told = name, after, told
+        self._fenced = set()
+        self._heard = {}
+        for each, item in self.by_name.items():
+            born_ms = BORN_MS if told else None
+            self.by_name[each] = item._replace(born_ms=born_ms)
+
+    async def ask_all(self):
+        """Return all ranks; the holder has heard of these starts then."""
+        self._heard.update(self.by_name)
+        return dict(self.by_name)
+
+    async def order(self, member, order, *, fence, epoch):
+        """Carry an order out, as a rank that checks nothing would."""
+        if isinstance(order, rank.Fence):
+            self._fenced.add(member)
+        elif member not in self._fenced and self._is_heard(member):
+            self.unfenced.append((member, order))
+        before = self.by_name[member]
+        if isinstance(order, rank.Arm) and before.prepared != order.version:
+            if self._is_heard(member):
+                self.unprepared.append((member, order))
+            self._heard[member] = before
+            return rank.Outcome.REFUSED, before
+        answer = await self._carry_out(member, order, fence, epoch)
+        self._left -= 1
+        if self._left == 0:
+            self._start_again()
+            answer = answer[0], self.by_name[member]
+        self._step()
+        self._heard[member] = answer[1]
+        return answer
+
+    def _is_heard(self, member):
+        """Tell whether the holder has heard of the start that is now."""
+        return self._heard[member].born_ms == self.by_name[member].born_ms
+
+    async def _carry_out(self, member, order, fence, epoch):
+        """Carry an order out and answer it; no answer is lost here."""
+        match order:
+            case rank.Hold(step=step):
+                found = self.by_name[member]._replace(held=step)
+            case rank.Disarm():
+                found = self.by_name[member]._replace(armed=None)
+            case _:
+                return await super().order(
+                    member, order, fence=fence, epoch=epoch
+                )
+        self.by_name[member] = found
+        return rank.Outcome.TAKEN, found
+
+    def _start_again(self):
+        """Forget everything but the group, as a rank that was killed."""
+        old = self.by_name[self._name]
+        born_ms = old.born_ms + 5 if self._told else None
+        fresh = rank.Rank(
+            old.group, old.epoch, old.number, old.size, True, old.step, 0, 9
+        )
+        self.by_name[self._name] = fresh._replace(born_ms=born_ms)
+        self._fenced.discard(self._name)
+
+    def _step(self):
+        """Begin the step that all are armed for, once nobody holds it."""
+        rows = self.by_name.values()
+        if all(r.armed for r in rows) and all(r.held is None for r in rows):
+            for name, item in self.by_name.items():
+                self.by_name[name] = item._replace(
+                    version=item.armed.version,
+                    step=item.armed.step,
+                    armed=None,
+                    prepared=None,
+                )
+
+
+def _holder(context, name, count, *, told):
+    context.made = Ranks(name, count, told=told)
+    holder_fakes.make_holder(context, context.made)
+
+
+@given('a holder whose rank "{name}" starts again after {count:d} orders')
+def _(context, name, count):
+    _holder(context, name, count, told=True)
+
+
+@given(
+    'a holder whose rank "{name}" starts again untold after {count:d} orders'
+)
+def _(context, name, count):
+    _holder(context, name, count, told=False)
+
+
+@when("it changes the layout")
+def _(context):
+    context.group.take(1)
+    defer.ensureDeferred(context.group.run())
+    for _ in range(200):
+        context.clock.advance(0.05)
+
+
+@then("each order went to a start that refuses earlier holders")
+def _(context):
+    assert not context.made.unfenced, context.made.unfenced
+
+
+@then("an order went to a start that does not refuse earlier holders")
+def _(context):
+    assert context.made.unfenced
+
+
+@then("no rank was armed for what it had not prepared")
+def _(context):
+    assert not context.made.unprepared, context.made.unprepared
+
+
+@then("the layout is in use at all ranks")
+def _(context):
+    versions = {item.version for item in context.made.by_name.values()}
+    assert len(versions) == 1 and 0 not in versions, context.made.by_name
+
+
+# Counters, and what ranks hold.
+
+
+@when("a rank counts 100, starts again in its epoch and counts 130")
+def _(context):
+    found = demand.Demand()
+    rows = ((100, 1000), (130, 1005))
+    for at, (count, born_ms) in enumerate(rows):
+        counted = {"r0": demand.Counted(1, (count,), born_ms)}
+        found = demand.observed(found, counted, now=at, half_life_s=1)
+    context.demand = found
+
+
+@then("nothing of that is taken for demand")
+def _(context):
+    assert not any(context.demand.recent), context.demand
+
+
+@when("a rank that told what it holds starts again in its epoch")
+def _(context):
+    context.asked = []
+    found = rank.Rank("g", 1, 0, 1, True, 5, 0, born_ms=BORN_MS)
+    context.told = rank_wire.Told(found, None, ((1,),))
+
+    async def tell(member, *, experts):
+        context.asked.append(experts)
+        return context.told if experts else context.told._replace(experts=None)
+
+    given_ = types.SimpleNamespace
+    made = told_ranks.ToldRanks(
+        clock=clock.FakeClock(),
+        reach=given_(tell=tell),
+        members=given_(by_name={"r0": "r0"}),
+    )
+    context.made = made
+    for _ in range(2):
+        defer.ensureDeferred(made.ask_all())
+    again = found._replace(born_ms=BORN_MS + 5)
+    context.told = rank_wire.Told(again, None, ((2,),))
+    defer.ensureDeferred(made.ask_all())
+
+
+@then("what it holds is asked for in the next look")
+def _(context):
+    defer.ensureDeferred(context.made.ask_all())
+    assert context.asked == [True, False, False, True], context.asked
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/address.py
@@ -0,0 +1,26 @@
+"""Addresses of processes, as others tell them."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import ipaddress
+
+MOST_PORT = 65535
+PORT_DIGITS = 5
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is "ip:port" with an IPv4 address and a port."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= PORT_DIGITS):
+        return False
+    return is_host(host) and 0 < int(port) <= MOST_PORT
+
+
+def is_host(text: str) -> bool:
+    """Tell whether a text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
--- a/packages/reelscale-core/src/reelscale_core/demand.py
+++ b/packages/reelscale-core/src/reelscale_core/demand.py
@@ -13,10 +13,18 @@
     Attributes:
       epoch: They start anew in each.
       counts: Tokens since then, set after set, by expert.
+      born_ms: Unix time of the rank's start in milliseconds, if it told; they
+        start anew with each.
     """
 
     epoch: int
     counts: tuple[int, ...]
+    born_ms: int | None = None
+
+    @property
+    def since(self) -> tuple[int, int | None]:
+        """Return what the counters start anew with."""
+        return self.epoch, self.born_ms
 
 
 class Demand(NamedTuple):
@@ -52,7 +60,7 @@
         recent = [0.0] * width
     for name, counted in counted_by_name.items():
         old = demand.last_by_name.get(name)
-        if old is None or old.epoch != counted.epoch:
+        if old is None or old.since != counted.since:
             continue
         for place, value in enumerate(_difference(counted, old)):
             recent[place] += value
--- a/packages/reelscale-core/src/reelscale_core/events.py
+++ b/packages/reelscale-core/src/reelscale_core/events.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple
 
+from . import number
+
 END = b"\n\n"
 ID = b"id:"
 # An event longer than this many bytes is taken as garbage.
@@ -51,5 +53,5 @@
     for line in text.split(b"\n"):
         if line.startswith(ID):
             value = line[len(ID) :].strip()
-            return int(value) if value.isdigit() else None
+            return number.whole(value.decode("latin-1"))
     return None
--- /dev/null
+++ b/packages/reelscale-core/src/reelscale_core/number.py
@@ -0,0 +1,35 @@
+"""Numbers in texts of others."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+# Milliseconds of thirty years, the id of any event and the size of any body
+# have fewer digits.
+DIGITS = 15
+
+
+def whole(text: str, *, digits: int = DIGITS) -> int | None:
+    """Return the whole number that a text holds; None if it holds none.
+
+    Args:
+      text: Digits of ASCII, and spaces around them.
+      digits: A number of more makes no sense.
+    """
+    text = text.strip(" ")
+    if not text.isascii() or not text.isdigit() or len(text) > digits:
+        return None
+    return int(text)
+
+
+def seconds(text: str, *, most: float) -> float | None:
+    """Return the seconds that a text holds; None if they make no sense.
+
+    Args:
+      text: A number, with a fraction or without.
+      most: More makes no sense.
+    """
+    try:
+        found = float(text)
+    except ValueError:
+        return None
+    return found if 0 <= found <= most else None
--- a/packages/reelscale-core/src/reelscale_core/rank.py
+++ b/packages/reelscale-core/src/reelscale_core/rank.py
@@ -43,6 +43,8 @@
       prepared: Layout whose weights it has beside the one in use, if any.
       armed: What it will take by itself, if anything.
       held: Step before which it holds the group, if any.
+      born_ms: Unix time of its start in milliseconds, if it told; nothing
+        that it said before another start holds after it.
     """
 
     group: str
@@ -57,6 +59,7 @@
     prepared: int | None = None
     armed: Armed | None = None
     held: int | None = None
+    born_ms: int | None = None
 
 
 class Fence(NamedTuple):
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -51,7 +51,7 @@
       whole: Whether items are all there is, so that others are gone.
     """
 
-    items: list[announcement.Announcement | announcement.Withdrawn]
+    items: list[announcement.Item]
     next_offset: int
     whole: bool = False
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -21,7 +21,7 @@
 from .adapters import engine as engines
 from .adapters import platform
 from .adapters import upstream as upstreams
-from .controllers import keys, layout, orders, streams
+from .controllers import follower, keys, layout, orders, streams
 
 LOG = logs.Part("agent")
 LOAD_EVERY_S = 0.25
@@ -56,6 +56,7 @@
             incarnation=base.incarnation,
         )
         self._keys = keys.Keys(
+            reactor=reactor,
             clock=base.clock,
             config=base.config,
             links=base.links,
@@ -86,7 +87,7 @@
         self._box_leaving = False
         self._role = ""
         self._beats: dict[str, tuple[float, int]] = {}
-        self._loops: list[task.LoopingCall] = []
+        self._timers: list[follower.Timer] = []
         base.config.listen(lambda _state: self._follow())
 
     async def start(self) -> None:
@@ -109,7 +110,7 @@
         )
         await base.listen(base.settings.http, process.make_site(root))
         defer.ensureDeferred(base.config.run())
-        self._start_loops()
+        self._start_timers()
         base.on_signal(self.stop)
         base.on_reload(
             lambda: self.settings, role="agent", take=self._take_settings
@@ -131,8 +132,8 @@
             await task.deferLater(base.reactor, process.STOP_POLL_S)
         self._layouts.stop()
         self._keys.stop()
-        for loop in self._loops:
-            loop.stop()
+        for timer in self._timers:
+            timer.stop()
         base.config.stop()
         await base.stop_listening()
         left = await base.close_connections(within=base.settings.grace)
@@ -269,15 +270,20 @@
         except Exception as lost:
             LOG.warning("The engine did not take its role.", reason=repr(lost))
 
-    def _start_loops(self) -> None:
-        for every_s, function in (
-            (LOAD_EVERY_S, self._ask_load),
-            (BOXES_EVERY_S, self._read_boxes),
-            (SWEEP_EVERY_S, self._streams.sweep),
+    def _start_timers(self) -> None:
+        for name, every_s, function in (
+            ("load", LOAD_EVERY_S, self._ask_load),
+            ("boxes", BOXES_EVERY_S, self._read_boxes),
+            ("sweep", SWEEP_EVERY_S, self._streams.sweep),
         ):
-            loop = task.LoopingCall(function)
-            loop.start(every_s)
-            self._loops.append(loop)
+            timer = follower.Timer(
+                reactor=self._base.reactor,
+                clock=self._base.clock,
+                name=name,
+                function=function,
+            )
+            timer.start(every_s)
+            self._timers.append(timer)
         self._keys.start()
         if self._base.settings.kind == "engine":
             self._layouts.start()
@@ -314,13 +320,22 @@
         now = self._base.clock.monotonic()
         if not self._base.config.ready:
             return "no configuration yet"
+        if reason := health.stuck(self._progress()):
+            return reason
         if now - self._load_at >= UNWELL_S:
             return "no load report of the upstream"
         return "leaving" if self._streams.gate.leaving else ""
 
+    def _progress(self) -> list[follower.Progress]:
+        """Return how the loops of this process get on."""
+        own = [timer.progress for timer in self._timers]
+        own += [self._base.config.progress, self._keys.progress]
+        return [*own, self._layouts.progress]
+
     def _refresh(self) -> None:
         """Set the gauges before a scrape."""
         self._base.set_gauges(self._metrics)
+        self._metrics.set_progress(self._progress())
         self._metrics.running.set({}, len(self._streams.gate.running))
         self._metrics.layout.set({}, self._layouts.rank.version)
         self._metrics.keys.set({}, len(self._keys.table))
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -17,9 +17,11 @@
 from reelscale_wire import link
 from reelscale_wire.gen import ttypes
 from twisted.internet import defer, task
+from twisted.python import failure
 
 from .. import logs, slices
 from ..adapters import base
+from . import follower
 
 LOG = logs.Part("config")
 RETRY_S = 0.25
@@ -88,6 +90,14 @@
         self._asking = False
         self._failing = False
         self._stopped = False
+        self._follower = follower.Follower(
+            reactor=reactor,
+            clock=clock,
+            name="configuration",
+            work=self._round,
+            on_down=self._on_down,
+            going=lambda: not self._stopped,
+        )
 
     def listen(self, listener: Callable[[states.State], None]) -> None:
         """Call a function after every change of the state."""
@@ -111,15 +121,25 @@
 
     async def run(self) -> None:
         """Follow the log until stopped."""
-        while not self._stopped:
-            try:
-                await self._read()
-                self._failing = False
-            except error.CodedError as down:
-                self._failing = True
-                if self.log_age_s() > LOG_FRESH_S and not self._asking:
-                    defer.ensureDeferred(self._ask_peers(down))
-                await self._pause(RETRY_S * (1 + random.random()))
+        await self._follower.run()
+
+    async def _round(self) -> float:
+        """Read the log once; the next read follows at once."""
+        await self._read()
+        self._failing = False
+        return 0.0
+
+    async def _on_down(self, down: error.CodedError) -> float:
+        """Ask peers once the log was away for long; return the pause."""
+        self._failing = True
+        if self.log_age_s() > LOG_FRESH_S and not self._asking:
+            defer.ensureDeferred(self._ask_peers(down))
+        return RETRY_S * (1 + random.random())
+
+    @property
+    def progress(self) -> follower.Progress:
+        """Return how the following of the log gets on."""
+        return self._follower.progress
 
     async def settled(
         self, plan_id: str, timeout_s: float
@@ -243,11 +263,24 @@
             if self.seen_by_lease.get(name, (0, 0.0))[0] != lease.offset:
                 self.seen_by_lease[name] = (lease.offset, now)
         for listener in self._listeners:
-            listener(new)
+            self._tell(listener, new)
         for find, waiter in list(self._waiters):
             if find() is not None and not waiter.called:
                 waiter.callback(None)
 
+    def _tell(
+        self, listener: Callable[[states.State], None], new: states.State
+    ) -> None:
+        """Tell one part of a state; its fault must not cost the others it."""
+        try:
+            listener(new)
+        except Exception:
+            LOG.error(
+                "A part did not take a configuration.",
+                offset=new.offset,
+                reason=failure.Failure().getTraceback(),
+            )
+
     def _note_snapshots(self, rows: list[tuple[int, Any]]) -> None:
         for offset, data in rows:
             if isinstance(data, dict) and data.get("kind") == "snapshot":
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -11,16 +11,24 @@
 from collections.abc import Callable
 from typing import Any
 
-from reelscale_core import announcement, clock, error, rendezvous, routing
+from reelscale_core import (
+    announcement,
+    clock,
+    error,
+    rendezvous,
+    routing,
+    starts,
+)
 from reelscale_core import state as states
 from reelscale_wire.gen import ttypes
-from twisted.internet import defer, task
+from twisted.internet import defer
+from twisted.python import failure
 
-from .. import logs
+from .. import logs, metrics
 from ..adapters import base
 from ..exchange import pool
 from ..filters import call
-from . import peer_lists, targets, usage
+from . import follower, peer_lists, targets, usage
 from . import view as views
 
 LOG = logs.Part("directory")
@@ -36,6 +44,9 @@
 # After the store was away, an upstream that is no longer listed is kept
 # for this long, in seconds: it may be back with its next heartbeat.
 RELIST_S = 2.0
+# Of so many announcements at most it is remembered that they cannot be
+# trusted; another writer may make up any number of them.
+UNUSABLE_NOTED = 1000
 
 
 class Directory:
@@ -52,6 +63,7 @@
         lists: peer_lists.PeerLists,
         poll_s: Callable[[], float],
         name: str,
+        metrics: metrics.Metrics,
     ) -> None:
         self.views_by_name: dict[str, views.View] = {}
         self.waiting_by_target: dict[str, int] = {}
@@ -66,23 +78,43 @@
         self._poll_s = poll_s
         self._targets = targets.Targets(clock=clock)
         self._name = name
+        self._metrics = metrics
+        self._starts = starts.Starts()
+        # What is wrong with announcements, as it was told last.
+        self._unusable_by_name: dict[str, str] = {}
         self._next = 0
         self._regained_at = float("-inf")
         self._down = False
         self._stopped = False
+        self._follower = follower.Follower(
+            reactor=reactor,
+            clock=clock,
+            name="list",
+            work=self._round,
+            on_down=self._on_down,
+            going=lambda: not self._stopped,
+        )
 
     async def run(self) -> None:
         """Follow the list until stopped."""
-        while not self._stopped:
-            try:
-                await self._read()
-            except error.CodedError as down:
-                self._note_down(down)
-                if not self.ready:
-                    self._take_of_peers(await self._lists.ask_some())
-                await self._pause(RETRY_S * (1 + random.random()))
-                continue
-            await self._pause(PAUSE_S * (0.75 + random.random() / 2))
+        await self._follower.run()
+
+    async def _round(self) -> float:
+        """Read the list once; return the seconds until the next read."""
+        await self._read()
+        return PAUSE_S * (0.75 + random.random() / 2)
+
+    async def _on_down(self, down: error.CodedError) -> float:
+        """Ask peers while there is no list; return the same."""
+        self._note_down(down)
+        if not self.ready:
+            self._take_of_peers(await self._lists.ask_some())
+        return RETRY_S * (1 + random.random())
+
+    @property
+    def progress(self) -> follower.Progress:
+        """Return how the following of the list gets on."""
+        return self._follower.progress
 
     def stop(self) -> None:
         """Follow the list no longer."""
@@ -134,7 +166,7 @@
         found = [
             view.candidate(
                 now,
-                others=self._usage.others(view.upstream.name),
+                others=self._usage.others(view.upstream.start.key),
                 waiting=self._targets.room(target, view.upstream.slots),
             )
             for view in self.views_by_name.values()
@@ -167,17 +199,25 @@
     async def wake(self, target: str | None = None) -> None:
         """Nothing to do: the list is followed all the time."""
 
-    def note_load(self, name: str, load: announcement.Load) -> None:
+    def view_of(self, start: announcement.Start) -> views.View | None:
+        """Return how a start of an upstream is seen; None once it is over."""
+        view = self.views_by_name.get(start.name)
+        same = view is not None and view.upstream.start == start
+        return view if same else None
+
+    def note_load(
+        self, start: announcement.Start, load: announcement.Load
+    ) -> None:
         """Take what an upstream's answer told of its load."""
-        view = self.views_by_name.get(name)
+        view = self.view_of(start)
         if view is None:
             return
         now = self._clock.monotonic()
-        view.note_load(load, now, others=self._usage.others(name))
+        view.note_load(load, now, others=self._usage.others(start.key))
 
-    def note_refused(self, name: str) -> None:
+    def note_refused(self, start: announcement.Start) -> None:
         """Note that an upstream refused a request without running it."""
-        view = self.views_by_name.get(name)
+        view = self.view_of(start)
         if view is not None:
             view.refused_at = self._clock.monotonic()
 
@@ -190,9 +230,9 @@
         self._targets.follow(state)
 
     def counts(self) -> dict[str, int]:
-        """Return this entry's requests in progress by upstream."""
-        rows = self.views_by_name.items()
-        return {name: view.own for name, view in rows if view.own}
+        """Return this entry's requests in progress by start."""
+        rows = self.views_by_name.values()
+        return {v.upstream.start.key: v.own for v in rows if v.own}
 
     async def _read(self) -> None:
         """Read the list once, or what has changed since the last time."""
@@ -208,10 +248,13 @@
     def _take_page(self, page: base.RosterPage) -> None:
         """Take a part of the list, or all of it."""
         self._next = page.next_offset
+        self._starts.hear(page.items)
         if page.whole:
             self._take_whole(page)
         for item in page.items:
-            self._take(item)
+            self._take_safely(item)
+        for item in self._starts.due(self._clock.monotonic()):
+            self._announced(item)
         self.ready = True
         for listener in self.on_change:
             listener()
@@ -219,25 +262,81 @@
     def _take_whole(self, page: base.RosterPage) -> None:
         """Withdraw what a whole list no longer names."""
         listed = {item.name for item in page.items}
+        self._starts.keep(listed)
         for name in set(self.views_by_name) - listed:
             self._take(announcement.Withdrawn(name))
 
-    def _take(
-        self, item: announcement.Announcement | announcement.Withdrawn
-    ) -> None:
+    def _take_safely(self, item: announcement.Item) -> None:
+        """Take an item; its fault must not cost those behind it."""
+        try:
+            self._take(item)
+        except Exception:
+            LOG.error(
+                "An item of the list could not be taken.",
+                name=item.name,
+                reason=failure.Failure().getTraceback(),
+            )
+
+    def _take(self, item: announcement.Item) -> None:
         match item:
             case announcement.Announcement():
-                self._announced(item)
+                self._judge(item)
             case announcement.Withdrawn(name=name):
+                self._unusable_by_name.pop(name, None)
+                self._starts.withdraw(name)
                 self._withdrawn(name)
+            case announcement.Unusable():
+                self._distrust(item)
+
+    def _judge(self, item: announcement.Announcement) -> None:
+        """Take an announcement for what it is worth."""
+        match self._starts.take(item, self._clock.monotonic()):
+            case starts.Verdict.COUNTS:
+                self._unusable_by_name.pop(item.name, None)
+                self._announced(item)
+            case starts.Verdict.UNTOLD:
+                detail = "it does not tell its start, though others do"
+                bad = announcement.Unusable(item.name, "start", detail)
+                self._distrust(bad)
+            case starts.Verdict.EARLIER:
+                LOG.warning(
+                    "An upstream's earlier start seems to have announced "
+                    "itself.",
+                    name=item.name,
+                    born_ms=item.born_ms,
+                )
+
+    def _distrust(self, item: announcement.Unusable) -> None:
+        """Use an upstream no more until it is announced well again."""
+        self._starts.withdraw(item.name)
+        if self._unusable_by_name.get(item.name) != item.reason:
+            if len(self._unusable_by_name) < UNUSABLE_NOTED:
+                self._unusable_by_name[item.name] = item.reason
+            self._metrics.unusable.inc({"reason": item.reason})
+            LOG.warning(
+                "An announcement cannot be trusted; it names no upstream.",
+                name=item.name,
+                reason=item.reason,
+                detail=item.detail,
+            )
+        view = self.views_by_name.get(item.name)
+        if view is not None and not view.gone:
+            self._drop(item.name, view.upstream)
 
     def _announced(self, item: announcement.Announcement) -> None:
         view = self.views_by_name.get(item.name)
         if view is None:
-            tie = rendezvous.score(self._name, item.name)
-            view = views.View(upstream=item, tie=tie)
-            self.views_by_name[item.name] = view
+            view = self._new_view(item)
             LOG.info("An upstream is listed.", **item._asdict())
+        elif starts.is_other(view.upstream.born_ms, item.born_ms):
+            self._connections.close_idle(view.upstream.address)
+            LOG.info(
+                "An upstream has started again; nothing of before holds.",
+                born_before_ms=view.upstream.born_ms,
+                own_before=view.own,
+                **item._asdict(),
+            )
+            view = self._new_view(item)
         elif view.upstream.leaving != item.leaving or view.gone:
             LOG.info(
                 "An upstream has changed.",
@@ -248,6 +347,13 @@
         view.upstream = item
         view.gone = False
 
+    def _new_view(self, item: announcement.Announcement) -> views.View:
+        """Begin to see a start of an upstream, of which nothing is known."""
+        tie = rendezvous.score(self._name, item.name)
+        view = views.View(upstream=item, tie=tie)
+        self.views_by_name[item.name] = view
+        return view
+
     def _withdrawn(self, name: str) -> None:
         """Drop an upstream, later if it may be back after an outage."""
         since_s = self._clock.monotonic() - self._regained_at
@@ -285,6 +391,3 @@
             self._down = False
             self._regained_at = self._clock.monotonic()
             LOG.info("The list of upstreams can be read again.")
-
-    def _pause(self, seconds: float) -> defer.Deferred:
-        return task.deferLater(self._reactor, seconds)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -10,14 +10,13 @@
 
 import math
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
-from reelscale_core import error, rank, relayout
-from twisted.internet import defer, task
+from reelscale_core import clock, error, rank, relayout, starts
 
 from .. import logs
 from ..adapters import base
-from . import members, reach, told_ranks
+from . import follower, members, reach, told_ranks
 
 LOG = logs.Part("group")
 # Seconds between two looks at all ranks; what requests want shifts within
@@ -86,6 +85,20 @@
         }
 
 
+class _Fenced(NamedTuple):
+    """Who refuses earlier holders.
+
+    Attributes:
+      fence: They are refused by it.
+      epoch: The epoch of the group.
+      born_ms: The start of each rank; another start has forgotten it.
+    """
+
+    fence: int
+    epoch: int
+    born_ms: Mapping[str, int | None]
+
+
 class Group:
     """The holder's work, while this agent holds the lease."""
 
@@ -93,6 +106,7 @@
         self,
         *,
         reactor: Any,
+        clock: clock.Clock,
         reach: reach.Reach,
         ranks: told_ranks.ToldRanks,
         engines: base.Engines,
@@ -103,6 +117,7 @@
 
         Args:
           reactor: The loop.
+          clock: The time.
           reach: Takes orders to ranks.
           ranks: What is known of all ranks.
           engines: What the operators say of engines.
@@ -121,15 +136,22 @@
         self._look_fence = -1
         self._finish_only = False
         self._busy = False
-        self._waiting: defer.Deferred | None = None
         self._limits: base.EngineLimits | None = None
         self._wanted: relayout.Wanted | None = None
-        self._fenced: tuple[int, int] | None = None
+        self._fenced: _Fenced | None = None
         self._refused_fence = -1
         self._newest_version = 0
         self._holds = _Holds()
         self._stopped = False
         self._finish_by = math.inf
+        self._follower = follower.Follower(
+            reactor=reactor,
+            clock=clock,
+            name="group",
+            work=self._round,
+            on_down=self._on_down,
+            going=lambda: not self._stopped or self._must_finish(),
+        )
 
     async def run(self) -> None:
         """Look after the group while the lease is held, until stopped.
@@ -137,25 +159,24 @@
         A group that this holder may have held is let go of before that, if
         its ranks can be reached within FINISH_S.
         """
-        while not self._stopped or self._must_finish():
-            pause_s = TICK_S
-            if self.holds:
-                try:
-                    await self._look()
-                except error.CodedError as lost:
-                    LOG.warning("The group is left alone.", reason=lost.detail)
-                pause_s = self._pause_s()
-            await self._pause(pause_s)
-
-    async def _pause(self, pause_s: float) -> None:
-        """Wait for a while, or until the group is taken."""
-        self._waiting = task.deferLater(self._reactor, pause_s)
-        try:
-            await self._waiting
-        except defer.CancelledError:
-            # The group was taken, so there is something to do now.
-            pass
-        self._waiting = None
+        await self._follower.run()
+
+    async def _round(self) -> float:
+        """Look at the group if it is held; return the pause after it."""
+        if not self.holds:
+            return TICK_S
+        await self._look()
+        return self._pause_s()
+
+    async def _on_down(self, lost: error.CodedError) -> float:
+        """Tell why the group was left alone; return the pause after it."""
+        LOG.warning("The group is left alone.", reason=lost.detail)
+        return self._pause_s()
+
+    @property
+    def progress(self) -> follower.Progress:
+        """Return how the looks get on."""
+        return self._follower.progress
 
     async def learn_limits(self) -> None:
         """Ask what the engine allows, once; CodedError "log-down"."""
@@ -193,8 +214,7 @@
         self._fence = fence
         self._finish_only = finish_only
         self._wanted = None
-        if self._waiting is not None:
-            self._waiting.cancel()
+        self._follower.wake()
 
     def release(self) -> None:
         """Leave the group to another, but for a change to be finished.
@@ -240,12 +260,15 @@
             await self._go_on_without(by_name)
             return
         epoch = next(iter(by_name.values())).epoch
-        if self._fenced != (self._fence, epoch):
+        if not self._all_refuse(by_name, epoch):
             if not await self._refuse_earlier(by_name, epoch):
                 return
             by_name = await self._ask_all()
             if not relayout.whole(by_name):
                 return
+            if not self._all_refuse(by_name, epoch):
+                # A rank has started again meanwhile, and has forgotten it.
+                return
         if self._wanted is None and _at_rest(by_name):
             if self._finish_only:
                 LOG.info("The group goes on.", fence=self._fence, epoch=epoch)
@@ -290,6 +313,12 @@
             )
             await self._send(orders, epoch)
 
+    def _all_refuse(
+        self, by_name: Mapping[str, rank.Rank], epoch: int
+    ) -> bool:
+        """Tell whether these starts of all ranks refuse earlier holders."""
+        return self._fenced == _Fenced(self._fence, epoch, _born(by_name))
+
     async def _refuse_earlier(
         self, by_name: Mapping[str, rank.Rank], epoch: int
     ) -> bool:
@@ -300,7 +329,7 @@
         outcomes, _ = await self._send(orders, epoch)
         if any(found != rank.Outcome.TAKEN for found in outcomes.values()):
             return False
-        self._fenced = (self._fence, epoch)
+        self._fenced = _Fenced(self._fence, epoch, _born(by_name))
         LOG.info(
             "All ranks refuse earlier holders.", fence=self._fence, epoch=epoch
         )
@@ -318,6 +347,9 @@
             outcomes, told = await self._send(orders, epoch)
             if rank.Outcome.FENCED in outcomes.values():
                 return
+            if _started_again(by_name, told):
+                LOG.warning("A rank has started again.", epoch=epoch)
+                return
             by_name = {**by_name, **told}
             if len(told) < len(orders) or not relayout.whole(by_name):
                 by_name = await self._ask_all()
@@ -422,6 +454,21 @@
         return name, outcome, told
 
 
+def _born(by_name: Mapping[str, rank.Rank]) -> dict[str, int | None]:
+    """Return the start of each rank."""
+    return {name: item.born_ms for name, item in by_name.items()}
+
+
+def _started_again(
+    before: Mapping[str, rank.Rank], now: Mapping[str, rank.Rank]
+) -> bool:
+    """Tell whether a rank tells of another start than it did before."""
+    return any(
+        starts.is_other(before[name].born_ms, item.born_ms)
+        for name, item in now.items()
+    )
+
+
 def _at_rest(by_name: Mapping[str, rank.Rank]) -> bool:
     """Tell whether no change is in progress at any rank."""
     return not any(
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/keys.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/keys.py
@@ -3,17 +3,17 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from reelscale_core import clock, once
 from reelscale_core import state as states
 from reelscale_wire import link
 from reelscale_wire.gen import ttypes
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from .. import logs
 from ..adapters import upstream as upstreams
-from . import config, streams
+from . import config, follower, streams
 
 LOG = logs.Part("keys")
 ASK_TIMEOUT_S = 1.0
@@ -35,6 +35,7 @@
     def __init__(
         self,
         *,
+        reactor: Any,
         clock: clock.Clock,
         config: config.Config,
         links: link.Links,
@@ -46,15 +47,25 @@
         self._config = config
         self._links = links
         self._name = name
-        self._loop = task.LoopingCall(self._clear_moved)
+        self._timer = follower.Timer(
+            reactor=reactor,
+            clock=clock,
+            name="once keys",
+            function=self._clear_moved,
+        )
 
     def start(self) -> None:
         """Begin to ask earlier homes whether they have moved on."""
-        self._loop.start(CLEAR_EVERY_S)
+        self._timer.start(CLEAR_EVERY_S)
+
+    @property
+    def progress(self) -> follower.Progress:
+        """Return how the asking gets on."""
+        return self._timer.progress
 
     def stop(self) -> None:
         """Ask no longer."""
-        self._loop.stop()
+        self._timer.stop()
 
     async def judge(self, request: ttypes.Submit) -> once.Judgement:
         """Decide on a key; Run means that it is now remembered."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/layout.py
@@ -29,7 +29,7 @@
 from .. import logs
 from ..adapters import engine as engines
 from ..adapters import platform
-from . import config, orders
+from . import config, follower, orders
 
 LOG = logs.Part("layout")
 TICK_S = 0.2
@@ -73,17 +73,23 @@
         self._noticed_at: float | None = None
         self._busy = False
         self._stopped = False
-        self._loop = task.LoopingCall(self._tick)
+        self._timer = follower.Timer(
+            reactor=reactor, clock=clock, name="layout", function=self._tick
+        )
 
     def start(self) -> None:
         """Begin to watch the own ranks."""
-        self._loop.start(TICK_S)
+        self._timer.start(TICK_S)
+
+    @property
+    def progress(self) -> follower.Progress:
+        """Return how the watching gets on."""
+        return self._timer.progress
 
     def stop(self) -> None:
         """Take no further part; a lease held is left to lapse."""
         self._stopped = True
-        if self._loop.running:
-            self._loop.stop()
+        self._timer.stop()
 
     def _tick(self) -> None:
         if not self._busy:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
@@ -10,14 +10,15 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from reelscale_core import clock, error, rank
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from .. import logs
 from ..adapters import base
-from . import group, members, own_rank
+from . import follower, group, members, own_rank
 
 LOG = logs.Part("lease")
 # Agents of a group that ask for its lease: enough that one is left when a
@@ -64,11 +65,20 @@
         self._stopped = False
         # A call at the lease; the next waits for its answer.
         self._calling = defer.DeferredLock()
+        self._loops = [
+            self._loop("lease", RENEW_S, self._renew),
+            self._loop("own rank", WATCH_S, self._watch),
+        ]
 
     def start(self) -> None:
         """Ask for the lease and watch the own rank from now on."""
-        defer.ensureDeferred(self._every(RENEW_S, self._renew))
-        defer.ensureDeferred(self._every(WATCH_S, self._watch))
+        for loop in self._loops:
+            defer.ensureDeferred(loop.run())
+
+    @property
+    def progress(self) -> list[follower.Progress]:
+        """Return how its loops get on."""
+        return [loop.progress for loop in self._loops]
 
     async def stop(self) -> None:
         """Give the lease up, so that another agent goes on.
@@ -83,22 +93,37 @@
         except error.CodedError as down:
             LOG.warning("The lease is left to lapse.", reason=down.detail)
 
-    async def _every(self, pause_s: float, work: Any) -> None:
-        """Do some work now and then until stopped; its errors are logged."""
+    def _loop(
+        self, name: str, pause_s: float, work: Callable[[], Awaitable[None]]
+    ) -> follower.Follower:
+        """Return a loop that does some work now and then until stopped."""
         failing = ""
-        while not self._stopped:
-            try:
-                await work()
-                failing = ""
-            except error.CodedError as lost:
-                if lost.code != failing:
-                    LOG.warning("Cannot go on for now.", reason=lost.detail)
-                failing = lost.code
+
+        def pause(*, often: bool) -> float:
             # Those that are no candidates only see whether they become one.
-            often = self._place is not None or failing
-            await task.deferLater(
-                self._reactor, pause_s if often else RELUCTANT_S
-            )
+            return pause_s if often else RELUCTANT_S
+
+        async def once() -> float:
+            nonlocal failing
+            await work()
+            failing = ""
+            return pause(often=self._place is not None)
+
+        async def on_down(lost: error.CodedError) -> float:
+            nonlocal failing
+            if lost.code != failing:
+                LOG.warning("Cannot go on for now.", reason=lost.detail)
+            failing = lost.code
+            return pause(often=True)
+
+        return follower.Follower(
+            reactor=self._reactor,
+            clock=self._clock,
+            name=name,
+            work=once,
+            on_down=on_down,
+            going=lambda: not self._stopped,
+        )
 
     async def _renew(self) -> None:
         """Ask for the lease, or keep it.
@@ -163,5 +188,6 @@
     return (
         changing
         and now.open
+        and now.born_ms == before.born_ms
         and ((now.epoch, now.step) == (before.epoch, before.step))
     )
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/members.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/members.py
@@ -3,14 +3,14 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+from collections.abc import Iterable
 from typing import Any
 
-from reelscale_core import announcement, error
-from twisted.internet import task
+from reelscale_core import announcement, clock, error, starts
 
 from .. import logs
 from ..adapters import base
-from . import reach
+from . import follower, reach
 
 LOG = logs.Part("members")
 # How long a read waits at the list, in seconds; a rank that is missing shows
@@ -34,6 +34,7 @@
         self,
         *,
         reactor: Any,
+        clock: clock.Clock,
         roster: base.Roster,
         target: str,
         own: reach.Member,
@@ -42,6 +43,7 @@
 
         Args:
           reactor: The loop.
+          clock: The time.
           roster: The platform's list.
           target: The group.
           own: This agent and its rank; all agents listen at the same port.
@@ -51,27 +53,44 @@
         self._own = own
         self.slots = 0
         self.following = False
-        self._reactor = reactor
         self._roster = roster
         self._target = target
         self._port = own.agent.rpartition(":")[2]
         self._listed: dict[str, announcement.Announcement] = {}
         self._next = 0
         self._stopped = False
+        self._clock = clock
+        self._starts = starts.Starts()
+        self._follower = follower.Follower(
+            reactor=reactor,
+            clock=clock,
+            name="members",
+            work=self._round,
+            on_down=self._on_down,
+            going=lambda: not self._stopped,
+        )
 
     async def run(self) -> None:
         """Follow the list while it is needed, until stopped."""
-        while not self._stopped:
-            if not self.following:
-                await task.deferLater(self._reactor, RETRY_S)
-                continue
-            try:
-                await self._read()
-            except error.CodedError as down:
-                if self._stopped:
-                    return
-                LOG.warning("The list cannot be read.", reason=down.detail)
-                await task.deferLater(self._reactor, RETRY_S)
+        await self._follower.run()
+
+    async def _round(self) -> float:
+        """Read the list if it is needed; return the pause after it."""
+        if not self.following:
+            return RETRY_S
+        await self._read()
+        return 0.0
+
+    async def _on_down(self, down: error.CodedError) -> float:
+        """Tell that the list cannot be read; return the pause after it."""
+        if not self._stopped:
+            LOG.warning("The list cannot be read.", reason=down.detail)
+        return RETRY_S
+
+    @property
+    def progress(self) -> follower.Progress:
+        """Return how the following of the list gets on."""
+        return self._follower.progress
 
     def stop(self) -> None:
         """Follow the list no longer."""
@@ -81,18 +100,35 @@
         wait_s = POLL_S if self._next else 0.0
         page = await self._roster.read(self._next, wait_s=wait_s)
         self._next = page.next_offset
+        self._starts.hear(page.items)
         if page.whole:
             self._listed = {}
+            self._starts.keep({item.name for item in page.items})
         for item in page.items:
-            match item:
-                case announcement.Announcement(target=self._target):
-                    self._listed[item.name] = item
-                case announcement.Withdrawn(name=name):
-                    self._listed.pop(name, None)
+            self._take(item)
+        self._list(self._starts.due(self._clock.monotonic()))
         found = [self._member(i.address) for i in self._listed.values()]
         self.slots = sum(item.slots for item in self._listed.values())
         self.by_name = {item.agent: item for item in [*found, self._own]}
 
+    def _take(self, item: announcement.Item) -> None:
+        match item:
+            case announcement.Announcement():
+                worth = self._starts.take(item, self._clock.monotonic())
+                if worth is starts.Verdict.COUNTS:
+                    self._list([item])
+            case (
+                announcement.Withdrawn(name=n) | announcement.Unusable(name=n)
+            ):
+                self._starts.withdraw(n)
+                self._listed.pop(n, None)
+
+    def _list(self, items: Iterable[announcement.Announcement]) -> None:
+        """List those of the group that announced themselves."""
+        for item in items:
+            if item.target == self._target:
+                self._listed[item.name] = item
+
     def _member(self, upstream: str) -> reach.Member:
         """Return a rank by its address; its agent is on the same box."""
         host = upstream.rpartition(":")[0]
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
@@ -18,7 +18,7 @@
 
 from .. import logs
 from ..adapters import platform
-from . import config
+from . import config, follower
 
 LOG = logs.Part("membership")
 # Other entries that an entry exchanges offsets with.
@@ -133,24 +133,34 @@
         self._heartbeat_s = heartbeat_s
         self._leaving: set[str] = set()
         self._entries: dict[str, str] = {}
-        self._loops: list[task.LoopingCall] = []
+        self._timers: list[follower.Timer] = []
         config.listen(lambda _state: self._choose())
 
     def start(self) -> None:
         """Begin to exchange heartbeats."""
-        for every_s, function in (
-            (self._heartbeat_s, self._beat_all),
-            (BOXES_EVERY_S, self._read_boxes),
-            (PEERS_EVERY_S, self._beat_entries),
+        for name, every_s, function in (
+            ("heartbeats", self._heartbeat_s, self._beat_all),
+            ("boxes", BOXES_EVERY_S, self._read_boxes),
+            ("entries", PEERS_EVERY_S, self._beat_entries),
         ):
-            loop = task.LoopingCall(function)
-            loop.start(every_s)
-            self._loops.append(loop)
+            timer = follower.Timer(
+                reactor=self._reactor,
+                clock=self._clock,
+                name=name,
+                function=function,
+            )
+            timer.start(every_s)
+            self._timers.append(timer)
+
+    @property
+    def progress(self) -> list[follower.Progress]:
+        """Return how its loops get on."""
+        return [timer.progress for timer in self._timers]
 
     def stop(self) -> None:
         """End the heartbeats; grants lapse at the agents."""
-        for loop in self._loops:
-            loop.stop()
+        for timer in self._timers:
+            timer.stop()
 
     def candidates(self, target: str) -> list[routing.Candidate]:
         """Return the upstreams that may serve a target."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/own_rank.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/own_rank.py
@@ -7,7 +7,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from reelscale_core import error
+from reelscale_core import error, starts
 from reelscale_wire.gen import ttypes
 
 from .. import logs, rank_wire
@@ -28,6 +28,14 @@
         report = await self._port.report()
         counted = await self._port.counted() if counts else None
         held = await self._port.experts() if experts else None
+        if counted and starts.is_other(counted.born_ms, report.born_ms):
+            raise error.CodedError(
+                "rank-lost",
+                step="rank",
+                peer="worker",
+                status=503,
+                detail="it started again between two answers",
+            )
         return rank_wire.Told(report, counted, held)
 
     async def answer(self, query: ttypes.RankQuery) -> ttypes.RankTold:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/peer_lists.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/peer_lists.py
@@ -11,10 +11,13 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from reelscale_core import announcement
+from reelscale_core import address, announcement
 from reelscale_wire import link
 from reelscale_wire.gen import ttypes
 
+from .. import logs
+
+LOG = logs.Part("directory")
 # A peer that lives answers within some ms; a dead one costs this, in seconds.
 TIMEOUT_S = 1.0
 # Peers asked one after the other, so that an outage is no storm.
@@ -80,11 +83,27 @@
         if not answer.items:
             return None
         items = [
-            announcement.Announcement(**vars(row)) for row in answer.items
+            announcement.Announcement(**vars(row))
+            for row in answer.items
+            if _sound(row)
         ]
+        if len(items) < len(answer.items):
+            LOG.error(
+                "A peer's list holds what names no upstream.",
+                peer=peer,
+                items=len(answer.items) - len(items),
+            )
         return PeerPage(peer, items, answer.offset)
 
 
+def _sound(row: ttypes.RosterItem) -> bool:
+    """Tell whether a peer's item names an upstream that can be used."""
+    texts = (row.name, row.target, row.address, row.hall)
+    if not all(texts) or row.slots is None or row.leaving is None:
+        return False
+    return row.slots >= 0 and address.is_address(row.address)
+
+
 def reply(
     offset: int, have_offset: int, listed: Iterable[announcement.Announcement]
 ) -> ttypes.RosterReply:
@@ -99,6 +118,7 @@
             hall=item.hall,
             slots=item.slots,
             leaving=item.leaving,
+            born_ms=item.born_ms,
         )
         for item in listed
     ]
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/told_ranks.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/told_ranks.py
@@ -35,11 +35,13 @@
       epoch: In which that is so.
       version: The layout.
       experts: Experts by set of layers.
+      born_ms: Unix time of the rank's start in milliseconds, if it told.
     """
 
     epoch: int
     version: int
     experts: tuple[tuple[int, ...], ...]
+    born_ms: int | None = None
 
 
 class Better(NamedTuple):
@@ -85,8 +87,7 @@
         told = {name: item for name, item in answers if item is not None}
         for name, item in told.items():
             if item.experts is not None:
-                epoch, version = item.rank.epoch, item.rank.version
-                self._held_by_name[name] = Held(epoch, version, item.experts)
+                self._held_by_name[name] = _held(item.rank, item.experts)
         counted = {
             name: item.counted
             for name, item in told.items()
@@ -116,7 +117,7 @@
         """Note what ranks hold once all of them use a layout."""
         for name, item in by_name.items():
             experts = tuple(row[item.number] for row in wanted.table)
-            self._held_by_name[name] = Held(item.epoch, item.version, experts)
+            self._held_by_name[name] = _held(item, experts)
 
     def choose(
         self,
@@ -155,10 +156,12 @@
     def _is_held(self, name: str, item: rank.Rank) -> bool:
         """Tell whether it is known what a rank holds now."""
         held = self._held_by_name.get(name)
-        return held is not None and (held.epoch, held.version) == (
-            item.epoch,
-            item.version,
-        )
+        return held is not None and held == _held(item, held.experts)
+
+
+def _held(item: rank.Rank, experts: tuple[tuple[int, ...], ...]) -> Held:
+    """Return what a rank holds, as long as it stays as it is."""
+    return Held(item.epoch, item.version, experts, item.born_ms)
 
 
 async def gather(asked: list[Coroutine[Any, Any, Any]]) -> list[Any]:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -15,12 +15,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+from reelscale_core import address as addresses
 from reelscale_core import clock
 from reelscale_wire import datagram
 from reelscale_wire.gen import ttypes
-from twisted.internet import protocol, task
+from twisted.internet import protocol
 
 from .. import logs
+from . import follower
 
 LOG = logs.Part("usage")
 # A change is told this soon, in seconds; changes in between go together.
@@ -38,6 +40,8 @@
 # A datagram with more than this many bytes may be cut on its way.
 LARGEST = 1400
 KNOWN_TOLD = 40
+# No entry has more requests in progress at one upstream.
+MOST_REQUESTS = 100_000
 
 # Takes an entry's address for calls and the offset that it has told.
 OffsetListener = Callable[[str, int], None]
@@ -124,7 +128,9 @@
         self._totals: dict[int, int] = {}
         self._number = 0
         self._due: Any = None
-        self._loop = task.LoopingCall(self._tell)
+        self._loop = follower.Timer(
+            reactor=reactor, clock=clock, name="usage", function=self._tell
+        )
 
     def start(self) -> None:
         """Listen, and tell the counts from now on."""
@@ -133,11 +139,15 @@
 
     def stop(self) -> None:
         """Tell nothing more; others notice by the silence."""
-        if self._loop.running:
-            self._loop.stop()
+        self._loop.stop()
         if self._due is not None and self._due.active():
             self._due.cancel()
 
+    @property
+    def progress(self) -> follower.Progress:
+        """Return how the telling gets on."""
+        return self._loop.progress
+
     @property
     def entries(self) -> int:
         """Return how many entries are known to live, this one included."""
@@ -251,10 +261,14 @@
 
 
 def _whole(told: ttypes.Usage) -> bool:
-    """Tell whether a datagram holds all that it should."""
+    """Tell whether a datagram holds all that it should, and makes sense."""
     fields = (told.name, told.incarnation, told.number, told.counts)
     more = (told.known, told.offset, told.peer, told.roster_offset)
-    return None not in (*fields, *more)
+    if None in (*fields, *more):
+        return False
+    hosts = all(addresses.is_host(host) for host in told.known)
+    counts = all(0 <= n <= MOST_REQUESTS for n in told.counts.values())
+    return hosts and counts and addresses.is_address(told.peer)
 
 
 def key_of(upstream: str) -> int:
--- a/packages/reelscale-daemon/src/reelscale_daemon/entry.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/entry.py
@@ -14,7 +14,7 @@
 
 from . import callers, health, logs, metrics, operators, process
 from .adapters import platform
-from .controllers import intents, membership
+from .controllers import follower, intents, membership
 from .filters import admit, attempt, classify, identify, limit, parts, relay
 
 LOG = logs.Part("entry")
@@ -137,7 +137,7 @@
         root.putChild(b"operator", self._operators())
         health.add_routes(
             root,
-            ready=base.not_ready,
+            ready=self._not_ready,
             metrics=self._metrics,
             refresh=self._refresh,
         )
@@ -157,7 +157,15 @@
             given=self._parts,
         )
 
+    def _not_ready(self) -> str:
+        return self._base.not_ready() or health.stuck(self._progress())
+
+    def _progress(self) -> list[follower.Progress]:
+        """Return how the loops of this process get on."""
+        return [self._base.config.progress, *self._membership.progress]
+
     def _refresh(self) -> None:
         """Set the gauges before a scrape."""
         self._base.set_gauges(self._metrics)
+        self._metrics.set_progress(self._progress())
         self._parts.set_gauges()
--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/caller.py
@@ -0,0 +1,60 @@
+"""Calls to one address, each answered in one piece."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any
+
+from . import connection, fetch, pool
+
+JSON = (b"Content-Type", b"application/json")
+
+
+class Caller:
+    """Sends calls to one address."""
+
+    def __init__(
+        self, *, reactor: Any, connections: pool.Pool, address: str
+    ) -> None:
+        self._reactor = reactor
+        self._connections = connections
+        self._address = address
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: Mapping[str, Any] | None = None,
+        body: bytes = b"",
+        timeout_s: float,
+        anew: bool = False,
+    ) -> fetch.Fetched:
+        """Send a call; ExchangeError if it has no answer in time.
+
+        Args:
+          method: HTTP method.
+          path: Path.
+          query: What stands behind the path.
+          body: The body; where there is one it is said to be JSON.
+          timeout_s: Seconds that the answer may take.
+          anew: Whether to take a new connection, see fetch.fetch().
+        """
+        target = path
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        headers = [(b"Host", self._address.encode())]
+        if body:
+            headers.append(JSON)
+        return await fetch.fetch(
+            self._connections,
+            self._address,
+            connection.Request(
+                method.encode(), target.encode(), headers, body
+            ),
+            reactor=self._reactor,
+            timeout_s=timeout_s,
+            anew=anew,
+        )
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
@@ -43,6 +43,8 @@
       repeatable: Whether running it twice does no harm.
       wish: What it asks of routing.
       choice: The upstream whose slot it holds, if any.
+      view: How that upstream is seen; the slot is counted there, also once
+        it has started again and another view has taken its place.
       waiting: Its place in the queue, if it waits.
       turn: Fires when it leaves the queue.
       left: Whether the caller has gone.
@@ -81,6 +83,7 @@
     repeatable: bool = True
     wish: routing.Wish | None = None
     choice: routing.Choice | None = None
+    view: Any = None
     waiting: admission.Waiting | None = None
     turn: defer.Deferred | None = None
     left: bool = False
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -31,7 +31,7 @@
       CodedError: "timeout": the time of the request is up.
       CallerLeftError: The caller has gone.
     """
-    upstream = given.membership.views_by_name[asked.choice.name].upstream
+    upstream = given.current_view(asked).upstream
     asked.attempts.append(f"{upstream.name} ({asked.choice.reason})")
     given.metrics.attempts.inc({"upstream": upstream.name})
     conn = await _connect(asked, given, upstream)
@@ -70,7 +70,7 @@
             raise writer.CallerLeftError from lost
         # That an opening was given up says nothing of the upstream.
         if given.left_s(asked) > 0:
-            given.note_failure(upstream.name)
+            given.note_failure(upstream.name, view=asked.view)
         raise attempt.AttemptLostError(
             lost.code, peer=upstream.name, not_run=True
         ) from lost
@@ -112,7 +112,7 @@
         return writer.CallerLeftError()
     if sent.given_up:
         return _late(sent)
-    sent.given.note_failure(sent.name)
+    sent.given.note_failure(sent.name, view=sent.asked.view)
     return attempt.AttemptLostError(
         lost.code, peer=sent.name, not_run=not lost.written
     )
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -78,7 +78,7 @@
     began = given.clock.monotonic()
     answered = given.dialect.answer(await sent.conn.head())
     if answered.load is not None:
-        given.membership.note_load(sent.name, answered.load)
+        given.membership.note_load(sent.upstream.start, answered.load)
     if answered.not_run:
         raise await _refused(sent, answered)
     given.outages.note_answered(sent.asked)
@@ -87,7 +87,7 @@
         await _relay_events(sent, answered)
     else:
         await _relay_whole(sent, answered)
-    given.note_success(sent.name)
+    given.note_success(sent.name, view=sent.asked.view)
     taken_s = given.clock.monotonic() - began
     given.membership.note_taken(sent.asked.target, taken_s)
 
@@ -97,7 +97,7 @@
 ) -> attempt.AttemptLostError:
     """Note that the upstream refused to run it; return the error."""
     sent.given.outages.note_refused(sent.asked, sent.name)
-    sent.given.membership.note_refused(sent.name)
+    sent.given.membership.note_refused(sent.upstream.start)
     # The rest of the answer goes nowhere, but the connection is kept.
     while await sent.conn.chunk() is not None:
         pass
@@ -117,7 +117,7 @@
     """
     if answered.request_id != sent.asked.id:
         sent.conn.abort()
-        sent.given.note_failure(sent.name)
+        sent.given.note_failure(sent.name, view=sent.asked.view)
         raise sent.lost("foreign-answer")
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -215,6 +215,7 @@
     def reserve(self, asked: call.Call) -> None:
         """Take the slot that a request was given."""
         view = self.membership.views_by_name[asked.choice.name]
+        asked.view = view
         view.own += 1
         view.breaker = circuit.sent(view.breaker)
         self.on_own_change()
@@ -223,13 +224,27 @@
         """Give the slot of a request back and let the next one go."""
         if asked.choice is None:
             return
-        view = self.membership.views_by_name.get(asked.choice.name)
+        view, asked.view = asked.view, None
         asked.choice = None
         if view is not None:
             view.own -= 1
             self.on_own_change()
         self.pump()
 
+    def current_view(self, asked: call.Call) -> View:
+        """Return how the chosen upstream is seen now.
+
+        It may have started again since; the slot is then one of that start.
+        """
+        view = self.membership.views_by_name.get(asked.choice.name)
+        if view is None:
+            return asked.view
+        if view is not asked.view:
+            asked.view.own -= 1
+            view.own += 1
+            asked.view = view
+        return view
+
     def pump(self) -> None:
         """Let waiting requests go as far as slots allow."""
         for queue in self._queues.values():
@@ -245,15 +260,21 @@
         for target, count in self.membership.waiting_by_target.items():
             self.metrics.queued.set({"target": target}, count)
 
-    def note_success(self, name: str) -> None:
-        """Close an upstream's circuit."""
-        view = self.membership.views_by_name.get(name)
+    def note_success(self, name: str, *, view: View | None = None) -> None:
+        """Close an upstream's circuit.
+
+        Args:
+          name: The upstream.
+          view: How that start of it was seen which answered, if starts are
+            told apart; by default the one that is seen now.
+        """
+        view = view or self.membership.views_by_name.get(name)
         if view is not None:
             view.breaker = circuit.succeeded(view.breaker)
 
-    def note_failure(self, name: str) -> None:
-        """Count a failure against an upstream's circuit."""
-        view = self.membership.views_by_name.get(name)
+    def note_failure(self, name: str, *, view: View | None = None) -> None:
+        """Count a failure against an upstream's circuit; see note_success."""
+        view = view or self.membership.views_by_name.get(name)
         if view is not None:
             now = self.clock.monotonic()
             view.breaker = circuit.failed(view.breaker, now)
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -16,7 +16,7 @@
 
 from . import callers, health, ingress, logs, metrics, process, site
 from .adapters import base
-from .controllers import config, directory, peer_lists, usage
+from .controllers import config, directory, follower, peer_lists, usage
 from .exchange import pool
 from .filters import (
     admit,
@@ -84,6 +84,7 @@
             ),
             poll_s=self._poll_s,
             name=settings.name,
+            metrics=self._metrics,
         )
         self._parts = self._make_parts()
         self._ingress = ingress.Ingress(
@@ -233,7 +234,14 @@
     def _not_ready(self) -> str:
         if reason := self._base.not_ready():
             return reason
-        return "" if self._directory.ready else "no list of upstreams yet"
+        if not self._directory.ready:
+            return "no list of upstreams yet"
+        return health.stuck(self._progress())
+
+    def _progress(self) -> list[follower.Progress]:
+        """Return how the loops of this process get on."""
+        parts = (self._base.config, self._directory, self._usage)
+        return [part.progress for part in parts]
 
     def _follow(self, state: Any) -> None:
         """Apply the limits of a new configuration."""
@@ -253,4 +261,5 @@
     def _refresh(self) -> None:
         """Set the gauges before a scrape."""
         self._base.set_gauges(self._metrics)
+        self._metrics.set_progress(self._progress())
         self._parts.set_gauges()
--- a/packages/reelscale-daemon/src/reelscale_daemon/health.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/health.py
@@ -3,7 +3,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import orjson
@@ -11,6 +11,7 @@
 from twisted.web import resource
 
 from . import metrics
+from .controllers import follower
 
 
 class Text(resource.Resource):
@@ -48,6 +49,12 @@
         return b"{}"
 
 
+def stuck(loops: Iterable[follower.Progress]) -> str:
+    """Return which loops get nowhere, as a reason not to be ready."""
+    names = [progress.name for progress in loops if progress.stuck]
+    return f"errors in following: {', '.join(names)}" if names else ""
+
+
 def add_routes(
     root: resource.Resource,
     *,
--- a/packages/reelscale-daemon/src/reelscale_daemon/metrics.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/metrics.py
@@ -8,8 +8,12 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+from collections.abc import Iterable
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from .controllers import follower
+
 WORKSPACES_NAMED = 64
 OTHER = "other"
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10, 60)
@@ -59,10 +63,29 @@
         self.layout = self._gauge(
             "reelscale_layout_version", "Layout in force at this upstream."
         )
+        self.loop_age = self._gauge(
+            "reelscale_loop_success_age_seconds",
+            "Since a loop last did its work, by loop.",
+        )
+        self.loop_faults = self._gauge(
+            "reelscale_loop_faults",
+            "Unforeseen errors of a loop since the start, by loop.",
+        )
+        self.unusable = self._counter(
+            "reelscale_announcements_unusable_total",
+            "Announcements of upstreams that cannot be trusted, by reason.",
+        )
         self.keys = self._gauge(
             "reelscale_once_keys", "Keys remembered by this agent."
         )
 
+    def set_progress(self, loops: Iterable[follower.Progress]) -> None:
+        """Set the gauges of loops before a scrape."""
+        for progress in loops:
+            labels = {"loop": progress.name}
+            self.loop_age.set(labels, progress.success_age_s)
+            self.loop_faults.set(labels, progress.faults)
+
     def workspace(self, name: str) -> str:
         """Return the label for a workspace: its name, or "other"."""
         if name in self._named:
--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_agent.py
@@ -20,6 +20,7 @@
 from . import health, logs, metrics, process
 from .adapters import base
 from .controllers import (
+    follower,
     group,
     lease_keeper,
     members,
@@ -55,6 +56,7 @@
         self._own = own_rank.OwnRank(port=port_to(own.upstream))
         self._members = members.Members(
             reactor=reactor,
+            clock=self._clock,
             roster=self._adapter.roster,
             target=settings.target,
             own=own,
@@ -92,6 +94,7 @@
         """Make what looks after the group while the lease is held."""
         return group.Group(
             reactor=self._reactor,
+            clock=self._clock,
             reach=way,
             ranks=told_ranks.ToldRanks(
                 clock=self._clock, reach=way, members=self._members
@@ -174,13 +177,23 @@
         """Pass an order on to the rank."""
         return defer.ensureDeferred(self._own.order(order))
 
+    def _not_ready(self) -> str:
+        if self._listener.stopping:
+            return "stopping"
+        return health.stuck(self._progress())
+
+    def _progress(self) -> list[follower.Progress]:
+        """Return how the loops of this process get on."""
+        own = [self._members.progress, self._group.progress]
+        return [*own, *self._keeper.progress]
+
     def _probes(self) -> Any:
         root = resource.Resource()
         health.add_routes(
             root,
-            ready=lambda: "stopping" if self._listener.stopping else "",
+            ready=self._not_ready,
             metrics=self._metrics,
-            refresh=lambda: None,
+            refresh=lambda: self._metrics.set_progress(self._progress()),
         )
         return process.make_site(root)
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/rank_wire.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/rank_wire.py
@@ -10,7 +10,7 @@
 from reelscale_wire.gen import ttypes
 
 # A message leaves these fields of a rank out while there is nothing to tell.
-OPTIONAL = ("prepared", "armed", "held")
+OPTIONAL = ("prepared", "armed", "held", "born_ms")
 REQUIRED = tuple(n for n in rank.Rank._fields if n not in OPTIONAL)
 
 
@@ -61,11 +61,18 @@
     if message.armed_version is not None and message.armed_step is not None:
         armed = rank.Armed(message.armed_version, message.armed_step)
     found = rank.Rank(
-        **fields, prepared=message.prepared, armed=armed, held=message.held
+        **fields,
+        prepared=message.prepared,
+        armed=armed,
+        held=message.held,
+        born_ms=message.born_ms,
     )
+    if not 0 <= found.number < found.size or min(found.epoch, found.step) < 0:
+        raise ValueError("a number of the rank makes no sense")
     counted = None
     if message.counts is not None:
-        counted = demand.Counted(found.epoch, tuple(message.counts))
+        counts = tuple(message.counts)
+        counted = demand.Counted(found.epoch, counts, found.born_ms)
     experts = None
     if message.experts is not None:
         experts = tuple(tuple(row) for row in message.experts)
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -188,6 +188,7 @@
   13: optional list<i64> counts,
   14: optional list<list<i32>> experts,  // By set of layers.
   15: i32 requests,        // Working and waiting.
+  16: optional i64 born_ms,  // Unix time of its start, if it told.
 }
 
 struct RankOrder {
@@ -213,6 +214,7 @@
   4: string hall,
   5: i32 slots,
   6: bool leaving,
+  7: optional i64 born_ms,  // Unix time of its start, if it told.
 }
 
 struct RosterReply {
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -2140,11 +2140,12 @@
      - counts
      - experts
      - requests
+     - born_ms
 
     """
 
 
-    def __init__(self, group=None, epoch=None, number=None, size=None, open=None, step=None, version=None, copying=None, prepared=None, armed_version=None, armed_step=None, held=None, counts=None, experts=None, requests=None,):
+    def __init__(self, group=None, epoch=None, number=None, size=None, open=None, step=None, version=None, copying=None, prepared=None, armed_version=None, armed_step=None, held=None, counts=None, experts=None, requests=None, born_ms=None,):
         self.group = group
         self.epoch = epoch
         self.number = number
@@ -2160,6 +2161,7 @@
         self.counts = counts
         self.experts = experts
         self.requests = requests
+        self.born_ms = born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2260,6 +2262,11 @@
                     self.requests = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2339,6 +2346,10 @@
             oprot.writeFieldBegin('requests', TType.I32, 15)
             oprot.writeI32(self.requests)
             oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 16)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2628,17 +2639,19 @@
      - hall
      - slots
      - leaving
+     - born_ms
 
     """
 
 
-    def __init__(self, name=None, target=None, address=None, hall=None, slots=None, leaving=None,):
+    def __init__(self, name=None, target=None, address=None, hall=None, slots=None, leaving=None, born_ms=None,):
         self.name = name
         self.target = target
         self.address = address
         self.hall = hall
         self.slots = slots
         self.leaving = leaving
+        self.born_ms = born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2679,6 +2692,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2713,6 +2731,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 6)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 7)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3004,6 +3026,7 @@
     (13, TType.LIST, 'counts', (TType.I64, None, False), None, ),  # 13
     (14, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 14
     (15, TType.I32, 'requests', None, None, ),  # 15
+    (16, TType.I64, 'born_ms', None, None, ),  # 16
 )
 all_structs.append(RankOrder)
 RankOrder.thrift_spec = (
@@ -3035,6 +3058,7 @@
     (4, TType.STRING, 'hall', 'UTF8', None, ),  # 4
     (5, TType.I32, 'slots', None, None, ),  # 5
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.I64, 'born_ms', None, None, ),  # 7
 )
 all_structs.append(RosterReply)
 RosterReply.thrift_spec = (
