--- a/bench/own_days.py
+++ b/bench/own_days.py
@@ -3,7 +3,7 @@
     python -m bench.own_days --program PROGRAM SITE... [--jobs 2]
 
 PROGRAM is the bench's program, SITE the path of a site file; the days are
-those under bench/days.  Each run writes its entry into journal/ as always.
+those under deploy/days.  Each run writes its entry into journal/ as always.
 The exit status is 1 if a day broke a rule or was not played to its end.
 """
 
@@ -19,7 +19,7 @@
 
 import typer
 
-DAYS = pathlib.Path(__file__).parent / "days"
+DAYS = pathlib.Path(__file__).parent.parent / "deploy" / "days"
 # A day takes some 45 s on a machine at rest, and more beside others.
 LONGEST_S = 600
 RESULT = re.compile(
