--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -274,7 +274,7 @@
     context.cluster = fleet.Fleet(entries=0, workers=())
     made = context.cluster
     made.processes["store"].start()
-    process.wait_for(lambda: made._answers(made._store), "the store")
+    process.wait_for(lambda: made.answers(made._store), "the store")
     context.store = stores.Store(
         reactor=reactor, clock=clock.SystemClock(), address=made._store
     )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -155,10 +155,10 @@
         for name, process in self.processes.items():
             if name not in self.http:
                 process.start()
-        wait_for(lambda: self._answers(self._store), "the store", START_S)
+        wait_for(lambda: self.answers(self._store), "the store", START_S)
         for name in self.workers:
             address = self.address[name]
-            wait_for(lambda a=address: self._answers(a), name, START_S)
+            wait_for(lambda a=address: self.answers(a), name, START_S)
             self.announce(name)
         self.configure(self.config)
         for name in self.http:
@@ -166,7 +166,8 @@
         for name in self.http if wait is None else wait:
             self.wait_ready(name)
 
-    def _answers(self, address: str) -> bool:
+    def answers(self, address: str) -> bool:
+        """Tell whether a stand-in answers at an address."""
         try:
             self.client.get(f"http://{address}/control")
         except httpx.HTTPError:
--- a/standins/ranked.py
+++ b/standins/ranked.py
@@ -56,10 +56,10 @@
         for name in ("store", "ranks"):
             self.processes[name].start()
         wait_for(
-            lambda: self._answers(self._store), "the store", fleet.START_S
+            lambda: self.answers(self._store), "the store", fleet.START_S
         )
         address = f"{self._hosts[0]}:{self._rank_port}"
-        wait_for(lambda: self._answers(address), "the ranks", fleet.START_S)
+        wait_for(lambda: self.answers(address), "the ranks", fleet.START_S)
         for number, host in enumerate(self._hosts):
             name = f"w{number}"
             self.workers[name] = (TARGET, "a")
