Let requests that are lost together open a circuit once

Cause: on an open circuit every failure doubled the time, also of requests that were sent before it opened. Ruled out: that trials double it in that case; none had been sent. Change: on an open circuit only the trial counts. Measured: circuit.feature failed first: 2 s after 6 lost requests, 30 s after 10 or 60, in place of 1; now 6 passed. Conclusion: mended.

--- a/packages/reelscale-core/src/reelscale_core/circuit.py
+++ b/packages/reelscale-core/src/reelscale_core/circuit.py
@@ -47,9 +47,16 @@
 
 
 def failed(circuit: Circuit, now: float) -> Circuit:
-    """Note a failure; opens after several, longer after each trial."""
+    """Note a failure; opens after several, longer after each trial.
+
+    On an open circuit only the trial counts.  What was sent before it opened
+    is lost together with that, and says nothing of the time since: ten
+    requests lost at once would keep an upstream out for 30 s in place of 1.
+    """
+    if circuit.open_s and not circuit.probing:
+        return circuit
     failures = circuit.failures + 1
-    if circuit.open_s == 0 and failures < FAILURES_TO_OPEN:
+    if not circuit.open_s and failures < FAILURES_TO_OPEN:
         return Circuit(failures=failures)
     open_s = min(max(FIRST_OPEN_S, 2 * circuit.open_s), LONGEST_OPEN_S)
     return Circuit(failures, now + open_s, open_s)
