End a request whose caller has stopped reading when its time is up

Cause: the request waits for its caller to have room, and the end of its time ended the connection to the upstream only. Ruled out: that the reset of a stalled connection ends it; nothing is closed. Conclusion: mended on the platform; on our own interface a stream has no time by which it must have ended, and its caller still holds it.

--- a/features/closing.feature
+++ b/features/closing.feature
@@ -53,3 +53,14 @@
     When 40 answers are ready for a caller who reads nothing yet
     And its caller sends what is no request and 4 MB more, and never reads
     Then its connection is reset within 40 s
+
+  Scenario Outline: A caller who stops reading holds its slot for its time at most
+    Given a fleet of its own
+    When a caller asks for an endless answer of <kind> and never reads
+    Then its request ends within 8 s, and the slot is free
+    And its connection is reset within 40 s
+
+    Examples:
+      | kind     |
+      | events   |
+      | one body |
--- a/features/steps/closing_steps.py
+++ b/features/steps/closing_steps.py
@@ -111,6 +111,38 @@
     context.read = slow.read_all(context.sock)
 
 
+@when("a caller asks for an endless answer of {kind} and never reads")
+def _(context, kind):
+    made = context.cluster
+    for name in made.workers:
+        made.set_faulty(name, True)
+    context.sock = slow.connect(made.http["f1"])
+    path = "/chat/flood" if kind == "events" else "/read/flood"
+    head = _head(context, "POST", path, **{"Content-Length": "0"})
+    context.sock.sendall(head)
+
+    def held():
+        rows = made.ledger()
+        return rows and rows[-1].get("held_since")
+
+    process.wait_for(held, "the answer to wait for its caller")
+
+
+@then("its request ends within {limit:d} s, and the slot is free")
+def _(context, limit):
+    made = context.cluster
+
+    def ended():
+        rows = [r for r in made.log_lines("f1") if r["text"] == slow.ENDED]
+        return rows and rows[-1]
+
+    row = process.wait_for(ended, "the request to end", limit)
+    assert row["code"] == "timeout", row
+    text = made.client.get(f"http://{made.health['f1']}/metrics").text
+    (running,) = re.findall(r"^reelscale_running (\S+)", text, re.M)
+    assert float(running) == 0, running
+
+
 def _behind(context, size):
     """Return what was read behind the answers of the first requests."""
     return context.read.rpartition(b"x" * size)[2]
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -60,6 +60,7 @@
         """End the attempt, since the time of the request is up."""
         self.given_up = code
         self.conn.abort()
+        self.out.give_up_waiting()
 
     def lost(self, code: str) -> attempt.AttemptLostError:
         """Return the error of an attempt that may have run."""
@@ -121,6 +122,18 @@
         raise sent.lost("foreign-answer")
 
 
+def _check_time(sent: Sent) -> None:
+    """See that an answer may go on.
+
+    Raises:
+      ExchangeError: Its time was up while it waited for its caller.
+    """
+    if sent.given_up:
+        raise connection.ExchangeError(
+            sent.given_up, peer=sent.name, written=True
+        )
+
+
 def _is_stream(answered: base.Answered) -> bool:
     return answered.status == writer.OK and any(
         key.lower() == b"content-type" and value.startswith(EVENT_STREAM)
@@ -139,6 +152,7 @@
     while (piece := await sent.conn.chunk()) is not None:
         if out.begun:
             await out.drained()
+            _check_time(sent)
             out.write([piece])
             continue
         body += piece
@@ -175,6 +189,7 @@
     last_at: float | None = None
     while (piece := await sent.conn.chunk()) is not None:
         await out.drained()
+        _check_time(sent)
         whole = cutter.feed(piece)
         if not whole:
             continue
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/writer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/writer.py
@@ -70,6 +70,13 @@
         if paused is not None:
             paused.callback(None)
 
+    def give_up_waiting(self) -> None:
+        """Wait for the caller no longer: the time of the request is up.
+
+        One that has stopped reading would hold the request and its slot.
+        """
+        self.resumeProducing()
+
     def stopProducing(self) -> None:  # noqa: N802
         """Give up: the connection is gone."""
         self._asked.left = True
--- a/standins/ranked.py
+++ b/standins/ranked.py
@@ -55,9 +55,7 @@
         """Start everything; agents last, as the list names their ranks."""
         for name in ("store", "ranks"):
             self.processes[name].start()
-        wait_for(
-            lambda: self.answers(self._store), "the store", fleet.START_S
-        )
+        wait_for(lambda: self.answers(self._store), "the store", fleet.START_S)
         address = f"{self._hosts[0]}:{self._rank_port}"
         wait_for(lambda: self.answers(address), "the ranks", fleet.START_S)
         for number, host in enumerate(self._hosts):
