--- a/features/steps/rank_starts_steps.py
+++ b/features/steps/rank_starts_steps.py
@@ -174,7 +174,7 @@
     found = rank.Rank("g", 1, 0, 1, True, 5, 0, born_ms=BORN_MS)
     context.told = rank_wire.Told(found, None, ((1,),))
 
-    async def tell(member, *, counts, experts):
+    async def tell(member, *, experts):
         context.asked.append(experts)
         return context.told if experts else context.told._replace(experts=None)
 
--- a/packages/reelscale-core/src/reelscale_core/demand.py
+++ b/packages/reelscale-core/src/reelscale_core/demand.py
@@ -53,8 +53,7 @@
     Counters of a rank that was not seen before, or that has started anew,
     are the base of the next difference and count for nothing yet.
     """
-    widths = [len(c.counts) for c in counted_by_name.values()]
-    width = max(widths, default=len(demand.recent))
+    width = max((len(c.counts) for c in counted_by_name.values()), default=0)
     kept = 0.5 ** ((now - demand.at) / half_life_s) if demand.recent else 0.0
     recent = [value * kept for value in demand.recent] or [0.0] * width
     if len(recent) != width:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -31,10 +31,6 @@
 BUSY = 0.5
 # Versions of one holder lie so many apart from those of the next.
 VERSIONS_A_FENCE = 1000
-# Experts that the orders of one moment name at most, some 50 KB: 72 orders to
-# prepare 2,592 experts each take 0.8 s at 4 Mbit/s, and each is to be
-# answered within 0.25 s.
-PLACES_AT_ONCE = 25_000
 # Rounds that give a change up: its ranks are disarmed, the group goes on, and
 # each may be lost a few times.
 ROUNDS_WITHOUT = 8
@@ -432,10 +428,10 @@
         self, orders: Mapping[str, rank.Order], epoch: int
     ) -> tuple[dict[str, rank.Outcome], dict[str, rank.Rank]]:
         """Send orders; return their outcomes and the ranks after them."""
-        rows = []
-        for batch in _batches(orders):
-            sent = [self._order(n, order, epoch) for n, order in batch.items()]
-            rows += await told_ranks.gather(sent)
+        sent = [
+            self._order(name, order, epoch) for name, order in orders.items()
+        ]
+        rows = await told_ranks.gather(sent)
         outcomes = {name: outcome for name, outcome, _ in rows}
         told = {name: item for name, _, item in rows if item is not None}
         self._holds.note_outcomes(orders, outcomes, epoch)
@@ -458,29 +454,6 @@
         return name, outcome, told
 
 
-def _batches(
-    orders: Mapping[str, rank.Order],
-) -> list[dict[str, rank.Order]]:
-    """Return orders in parts that a thin link takes at once."""
-    batches: list[dict[str, rank.Order]] = [{}]
-    places = 0
-    for name, order in orders.items():
-        size = _places(order)
-        if batches[-1] and places + size > PLACES_AT_ONCE:
-            batches.append({})
-            places = 0
-        batches[-1][name] = order
-        places += size
-    return batches
-
-
-def _places(order: rank.Order) -> int:
-    """Return how many experts an order names."""
-    if not isinstance(order, rank.Prepare):
-        return 0
-    return sum(len(held) for row in order.table for held in row)
-
-
 def _born(by_name: Mapping[str, rank.Rank]) -> dict[str, int | None]:
     """Return the start of each rank."""
     return {name: item.born_ms for name, item in by_name.items()}
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -71,16 +71,10 @@
         self._tried_at: dict[str, float] = {}
 
     async def tell(
-        self, member: Member, *, counts: bool, experts: bool
+        self, member: Member, *, experts: bool
     ) -> rank_wire.Told | None:
-        """Return what a rank reports; None if nothing.
-
-        Args:
-          member: The rank.
-          counts: Whether its counters are wanted, too.
-          experts: Whether what it holds is wanted, too.
-        """
-        query = ttypes.RankQuery(counts=counts, experts=experts)
+        """Return what a rank reports, with its counters; None if nothing."""
+        query = ttypes.RankQuery(counts=True, experts=experts)
         if not self._is_silent(member):
             try:
                 answer = await self._call(member, "rank", query)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/told_ranks.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/told_ranks.py
@@ -28,15 +28,6 @@
 LEAST_GAIN = 0.1
 
 
-# A look asks for so many counters at most, some 40 KB: a box of a rank may
-# have a link of 4 Mbit/s, and all agents are to answer within 0.25 s.  With
-# 124,000 of 72 ranks at once, some agents were late in each look, and no
-# layout was ever changed.
-COUNTERS_A_LOOK = 16_000
-# Before any rank has told its counters, each is taken to have so many.
-COUNTERS_ASSUMED = 2_000
-
-
 class Held(NamedTuple):
     """What one rank holds.
 
@@ -85,15 +76,11 @@
         self._members = members
         self._demand = demand.Demand()
         self._held_by_name: dict[str, Held] = {}
-        self._look = 0
-        self._counted_at_look: dict[str, int] = {}
-        self._counters_each = COUNTERS_ASSUMED
 
     async def ask_all(self) -> dict[str, rank.Rank]:
         """Ask all agents for their ranks; those that answer are returned."""
-        counted_now = self._next_to_count()
         asked = [
-            self._ask(name, member, counts=name in counted_now)
+            self._ask(name, member)
             for name, member in self._members.by_name.items()
         ]
         answers = await gather(asked)
@@ -106,7 +93,6 @@
             for name, item in told.items()
             if item.counted is not None
         }
-        self._note_counted(counted)
         self._demand = demand.observed(
             self._demand,
             counted,
@@ -115,36 +101,11 @@
         )
         return {name: item.rank for name, item in told.items()}
 
-    def _next_to_count(self) -> set[str]:
-        """Return the ranks to ask for their counters in this look.
-
-        Those that were not asked for longest, as many as fit a thin link;
-        all of them where the group is small.
-        """
-        most = max(1, COUNTERS_A_LOOK // max(1, self._counters_each))
-        looks = self._counted_at_look
-        names = sorted(
-            self._members.by_name, key=lambda name: looks.get(name, 0)
-        )
-        self._look += 1
-        chosen = names[:most]
-        self._counted_at_look = {
-            name: looks.get(name, 0) for name in names
-        } | dict.fromkeys(chosen, self._look)
-        return set(chosen)
-
-    def _note_counted(self, counted: Mapping[str, demand.Counted]) -> None:
-        """Note how many counters a rank of this group has."""
-        widths = [len(item.counts) for item in counted.values()]
-        self._counters_each = max(widths, default=self._counters_each)
-
     async def _ask(
-        self, name: str, member: reach.Member, *, counts: bool
+        self, name: str, member: reach.Member
     ) -> tuple[str, rank_wire.Told | None]:
         held = self._held_by_name.get(name)
-        told = await self._reach.tell(
-            member, counts=counts, experts=held is None
-        )
+        told = await self._reach.tell(member, experts=held is None)
         if told and held and not self._is_held(name, told.rank):
             # What it holds is asked for the next time.
             del self._held_by_name[name]
