Move holds and what is told of bad announcements into modules of their own

Cause: group.py and directory.py had grown to 486 and 393 lines, each with a part that stands by itself. Ruled out: a change of behaviour; names and bodies moved as they were. Change: controllers/holds.py and controllers/unusable.py. Conclusion: 434 and 379 lines; both are still large.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -28,7 +28,7 @@
 from ..adapters import base
 from ..exchange import pool
 from ..filters import call
-from . import follower, peer_lists, targets, usage
+from . import follower, peer_lists, targets, unusable, usage
 from . import view as views
 
 LOG = logs.Part("directory")
@@ -44,9 +44,6 @@
 # After the store was away, an upstream that is no longer listed is kept
 # for this long, in seconds: it may be back with its next heartbeat.
 RELIST_S = 2.0
-# Of so many announcements at most it is remembered that they cannot be
-# trusted; another writer may make up any number of them.
-UNUSABLE_NOTED = 1000
 
 
 class Directory:
@@ -78,10 +75,8 @@
         self._poll_s = poll_s
         self._targets = targets.Targets(clock=clock)
         self._name = name
-        self._metrics = metrics
         self._starts = starts.Starts()
-        # What is wrong with announcements, as it was told last.
-        self._unusable_by_name: dict[str, str] = {}
+        self._unusable = unusable.UnusableNotes(metrics=metrics)
         self._next = 0
         self._regained_at = float("-inf")
         self._down = False
@@ -282,7 +277,7 @@
             case announcement.Announcement():
                 self._judge(item)
             case announcement.Withdrawn(name=name):
-                self._unusable_by_name.pop(name, None)
+                self._unusable.forget(name)
                 self._starts.withdraw(name)
                 self._withdrawn(name)
             case announcement.Unusable():
@@ -292,7 +287,7 @@
         """Take an announcement for what it is worth."""
         match self._starts.take(item, self._clock.monotonic()):
             case starts.Verdict.COUNTS:
-                self._unusable_by_name.pop(item.name, None)
+                self._unusable.forget(item.name)
                 self._announced(item)
             case starts.Verdict.UNTOLD:
                 detail = "it does not tell its start, though others do"
@@ -309,16 +304,7 @@
     def _distrust(self, item: announcement.Unusable) -> None:
         """Use an upstream no more until it is announced well again."""
         self._starts.withdraw(item.name)
-        if self._unusable_by_name.get(item.name) != item.reason:
-            if len(self._unusable_by_name) < UNUSABLE_NOTED:
-                self._unusable_by_name[item.name] = item.reason
-            self._metrics.unusable.inc({"reason": item.reason})
-            LOG.warning(
-                "An announcement cannot be trusted; it names no upstream.",
-                name=item.name,
-                reason=item.reason,
-                detail=item.detail,
-            )
+        self._unusable.note(item)
         view = self.views_by_name.get(item.name)
         if view is not None and not view.gone:
             self._drop(item.name, view.upstream)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -16,7 +16,7 @@
 
 from .. import logs
 from ..adapters import base
-from . import follower, members, reach, told_ranks
+from . import follower, holds, members, reach, told_ranks
 
 LOG = logs.Part("group")
 # Seconds between two looks at all ranks; what requests want shifts within
@@ -42,49 +42,6 @@
 FINISH_S = 2.0
 
 
-class _Holds:
-    """Holds of the group that a holder must not leave behind.
-
-    Attributes:
-      seen: Whether a rank holds the group, by the last that was heard.
-    """
-
-    def __init__(self) -> None:
-        self.seen = False
-        self._unanswered: set[tuple[str, int, int]] = set()
-
-    @property
-    def left(self) -> bool:
-        """Whether a rank holds the group, or may do so later."""
-        return self.seen or bool(self._unanswered)
-
-    def note_outcomes(
-        self,
-        orders: Mapping[str, rank.Order],
-        outcomes: Mapping[str, rank.Outcome],
-        epoch: int,
-    ) -> None:
-        """Note what became of orders to hold the group."""
-        for name, order in orders.items():
-            if not isinstance(order, rank.Hold):
-                continue
-            if outcomes[name] == rank.Outcome.UNKNOWN:
-                self._unanswered.add((name, order.step, epoch))
-            elif outcomes[name] == rank.Outcome.TAKEN:
-                self.seen = True
-
-    def note_ranks(self, by_name: Mapping[str, rank.Rank]) -> None:
-        """Note what ranks report; a silent one may hold what it held."""
-        held = any(item.held is not None for item in by_name.values())
-        if held or relayout.whole(by_name):
-            self.seen = held
-        self._unanswered = {
-            hold
-            for hold in self._unanswered
-            if not _comes_too_late(hold, by_name)
-        }
-
-
 class _Fenced(NamedTuple):
     """Who refuses earlier holders.
 
@@ -141,7 +98,7 @@
         self._fenced: _Fenced | None = None
         self._refused_fence = -1
         self._newest_version = 0
-        self._holds = _Holds()
+        self._holds = holds.Holds()
         self._stopped = False
         self._finish_by = math.inf
         self._follower = follower.Follower(
@@ -475,12 +432,3 @@
         item.armed or item.held is not None or item.copying
         for item in by_name.values()
     )
-
-
-def _comes_too_late(
-    hold: tuple[str, int, int], by_name: Mapping[str, rank.Rank]
-) -> bool:
-    """Tell whether a rank refuses a hold that is carried out from now on."""
-    name, step, epoch = hold
-    item = by_name.get(name)
-    return item is not None and (item.epoch != epoch or item.step >= step)
