Show with processes a rank that starts again while its group is held

Ruled out: a group left held, or a step on two layouts, where the rank that starts again under its id has forgotten what the holder wanted of it. Change: the stand-in's ranks tell their birth; one scenario.

--- a/features/platform_layout.feature
+++ b/features/platform_layout.feature
@@ -64,6 +64,14 @@
     Then its skew falls below 1.4 within 20 s
     And no step of the group began on two layouts
 
+  Scenario: A rank starts again under its id while the group is held
+    Given a group of ranks with agents
+    When an agent holds the lease for good
+    And a rank starts again while the group is held
+    Then the group is not held within 20 s
+    And its skew falls below 1.4 within 20 s
+    And no step of the group began on two layouts
+
   Scenario: The store is away
     Given a group of ranks with agents
     When an agent holds the lease for good
--- a/features/steps/platform_layout_steps.py
+++ b/features/steps/platform_layout_steps.py
@@ -101,6 +101,13 @@
     context.cluster.group(lose=0)
 
 
+@when("a rank starts again while the group is held")
+def _(context):
+    made = context.cluster
+    _hold(made, "go")
+    made.group(restart=True, lose=0)
+
+
 @when("the killed agent is started again")
 def _(context):
     context.cluster.processes[context.holder_name].start()
@@ -142,14 +149,19 @@
     return [row["text"] for row in made.log_lines(name)]
 
 
+def _hold(made, lost):
+    """Have the group held: orders of one kind are lost for good."""
+    made.group(lose=1000, lose_op=lost, late_s=60, hot=OTHERS)
+    wait_for(lambda: made.group()["held_by"], "a hold", 20)
+
+
 def _stop_while_held(context, stop, lost="go"):
     """Stop the holder's process between a hold and its end.
 
     No order of the kind that is lost arrives, so the group stays held.
     """
     made = context.cluster
-    made.group(lose=1000, lose_op=lost, late_s=60, hot=OTHERS)
-    wait_for(lambda: made.group()["held_by"], "a hold", 20)
+    _hold(made, lost)
     # The rank after the holder's holds the group.
     (number,) = made.group()["held_by"]
     context.holder_name = made.agents[number - 1]
--- a/standins/ranks.py
+++ b/standins/ranks.py
@@ -33,6 +33,9 @@
 LOADING_S = 0.03
 # Tokens of a step for an expert that is wanted; others get a twentieth.
 TOKENS = 1000
+# Unix milliseconds at which a rank starts, and how much later it does again.
+BORN_MS = 1_700_000_000_000
+AGAIN_AFTER_MS = 700
 # Requests that each rank has at first: as many as it works on at once.
 SLOTS = 6
 
@@ -45,8 +48,14 @@
         self.size = size
         self.fence = 0
         self.highest = 0
+        self.born_ms = BORN_MS
         self.reform()
 
+    def start_again(self) -> None:
+        """Forget also what outlasts a new forming of the group."""
+        self.fence = self.highest = 0
+        self.born_ms += AGAIN_AFTER_MS
+
     def reform(self) -> None:
         """Begin with the first layout and nothing prepared."""
         dealt = tuple(range(self.number, EXPERTS, self.size))
@@ -141,7 +150,7 @@
             self.step = 0
             for rank in self.ranks:
                 rank.reform()
-            self.ranks[-1].fence = self.ranks[-1].highest = 0
+            self.ranks[-1].start_again()
         for name, value in data.items():
             setattr(self, name, value)
         return {
@@ -173,17 +182,20 @@
             "prepared": rank.prepared_version,
             "armed": rank.armed,
             "held": rank.held,
+            "born": rank.born_ms,
         }
 
     def picked(self, rank: Rank, request: Any) -> dict[str, Any]:
         """Return a rank's counters, or what it holds."""
         if b"lists" in request.args:
             held = {"version": rank.version, "experts": rank.experts}
-            return {"epoch": self.epoch, "map": held, "prepared": None}
+            told = {"epoch": self.epoch, "map": held, "prepared": None}
+            return {**told, "born": rank.born_ms}
         return {
             "step": self.step,
             "epoch": self.epoch,
             "counts": rank.counts,
+            "born": rank.born_ms,
         }
 
     def order(self, rank: Rank, request: Any) -> Any:
