--- a/features/steps/platform_silent_steps.py
+++ b/features/steps/platform_silent_steps.py
@@ -95,7 +95,7 @@
 def _(context, count):
     made = context.cluster = fleet.Fleet(entries=0, workers=())
     made.processes["store"].start()
-    process.wait_for(lambda: made._answers(made._store), "the store")
+    process.wait_for(lambda: made.answers(made._store), "the store")
     context.relay = _relay(context, made._store)
     context.store = stores.Store(
         reactor=reactor,
