Tell when an upstream wants no requests, and when it gets one all the same

Before the cause of the incident is worked on: logs and metrics could not tell its hypotheses apart. Kept by an upstream's start, beside the list: what each refusal asks. Two lines and three metrics; routing is as it was.

Ruled out: deriving it from "A request has ended.", which shows the last refusal of a request only.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -76,6 +76,7 @@
             links=links,
             agent_port=agent_port,
             peers=peers,
+            metrics=metrics,
         )
         self.ready = False
         self._reactor = reactor
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/upstreams.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/upstreams.py
@@ -14,9 +14,10 @@
 from reelscale_core import state as states
 from reelscale_wire import link
 
+from .. import metrics
 from ..adapters import base
 from ..filters import call
-from . import groups, rate_limits, targets, usage
+from . import backoffs, groups, rate_limits, targets, usage
 from . import view as views
 
 
@@ -28,6 +29,7 @@
       waiting_by_target: Requests that wait here, by target.
       on_change: Called after a change of the views.
       rate_limits: The limits that upstreams name themselves.
+      backoffs: Which upstreams want no requests for a while.
       groups: Which group of ranks each one is in.
     """
 
@@ -40,6 +42,7 @@
         links: link.Links,
         agent_port: int,
         peers: Callable[[], Iterable[str]],
+        metrics: metrics.Metrics,
     ) -> None:
         """Make it; no upstream is known yet.
 
@@ -50,6 +53,7 @@
           links: Connections to agents and other entries.
           agent_port: Port of the agents beside ranks, 0 if there are none.
           peers: Gives addresses of other entries.
+          metrics: Counts what upstreams ask.
         """
         self.views_by_name: dict[str, views.View] = {}
         self.waiting_by_target: dict[str, int] = {}
@@ -64,6 +68,7 @@
             on_news=usage.changed,
             on_free=self.tell_change,
         )
+        self.backoffs = backoffs.Backoffs(clock=clock, metrics=metrics)
         self.groups = groups.Groups(
             reactor=reactor,
             clock=clock,
@@ -178,6 +183,10 @@
         if self.view_of(start) is not None:
             self.rate_limits.heard(start.key, stated)
 
+    def note_backoff(self, start: announcement.Start, seconds: float) -> None:
+        """Take for how long a refusal asks to be left alone."""
+        self.backoffs.heard(start, seconds)
+
     def note_pause(self, asked: call.Call, pause_s: float) -> None:
         """Take the pause between two events of a stream."""
         longest_s = asked.route.pause_s
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -8,9 +8,11 @@
 from reelscale_core import announcement, error
 from twisted.internet import defer
 
+from .. import logs
 from ..exchange import connection
 from . import attempt, call, direct_answer, parts, suspect, writer
 
+LOG = logs.Part("attempt")
 # A request that must not run twice is not sent on a connection that was
 # idle for longer, in seconds: an upstream may be closing it just now.
 ONCE_IDLE_S = 1.0
@@ -45,6 +47,7 @@
         raise attempt.AttemptLostError(
             TIMEOUT, peer=upstream.name, not_run=True
         )
+    _note_unwanted(asked, given, upstream)
     sent = direct_answer.Sent(
         asked=asked, given=given, out=out, conn=conn, upstream=upstream
     )
@@ -63,6 +66,24 @@
         _end(sent, timer)
 
 
+def _note_unwanted(
+    asked: call.Call, given: parts.Parts, upstream: announcement.Announcement
+) -> None:
+    """Tell that a request goes to an upstream that wants none now."""
+    left_s = given.membership.backoffs.left_s(upstream.start)
+    if not left_s:
+        return
+    given.metrics.unwanted.inc({"upstream": upstream.name})
+    LOG.warning(
+        "A request goes to an upstream that wants none.",
+        request=asked.id,
+        upstream=upstream.start.key,
+        left_s=round(left_s, 3),
+        reason=asked.choice.reason,
+        attempt=len(asked.attempts),
+    )
+
+
 async def _connect(
     asked: call.Call, given: parts.Parts, upstream: announcement.Announcement
 ) -> connection.Connection:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -16,6 +16,9 @@
 from ..exchange import connection
 from . import attempt, call, parts, writer
 
+# With these an upstream may say when it wants requests again (RFC 9110, 15.6.4
+# and RFC 6585, 4).
+BACKOFF_STATUSES = (429, 503)
 # An upstream's answer from this status on is a failure of its own.
 FAILED = 500
 EVENT_STREAM = b"text/event-stream"
@@ -85,6 +88,7 @@
         given.membership.note_rate_limit(
             sent.upstream.start, answered.rate_limit
         )
+        _note_backoff(sent, answered)
     if answered.not_run:
         raise await _refused(sent, answered)
     given.outages.note_answered(sent.asked, sent.name)
@@ -99,6 +103,16 @@
     given.membership.note_taken(sent.asked.target, taken_s)
 
 
+def _note_backoff(sent: Sent, answered: base.Answered) -> None:
+    """Note for how long the upstream wants nothing more, if it says so."""
+    if answered.status not in BACKOFF_STATUSES:
+        return
+    if answered.retry_after_s is not None:
+        sent.given.membership.note_backoff(
+            sent.upstream.start, answered.retry_after_s
+        )
+
+
 async def _refused(
     sent: Sent, answered: base.Answered
 ) -> attempt.AttemptLostError:
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -317,5 +317,6 @@
     def _refresh(self) -> None:
         """Set the gauges before a scrape."""
         self._base.set_gauges(self._metrics)
+        self._metrics.backing_off.set({}, self._directory.backoffs.count())
         self._metrics.set_progress(self._progress())
         self._parts.set_gauges()
--- a/packages/reelscale-daemon/src/reelscale_daemon/metrics.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/metrics.py
@@ -40,6 +40,18 @@
         self.attempts = self._counter(
             "reelscale_attempts_total", "Attempts sent, by upstream."
         )
+        self.backoffs = self._counter(
+            "reelscale_backoffs_total",
+            "Refusals that asked for no requests for a while, by upstream.",
+        )
+        self.backing_off = self._gauge(
+            "reelscale_upstreams_backed_off",
+            "Upstreams that want no requests of this process now.",
+        )
+        self.unwanted = self._counter(
+            "reelscale_attempts_unwanted_total",
+            "Attempts sent to an upstream that wanted none, by upstream.",
+        )
         self.dropped = self._counter(
             "reelscale_chunks_dropped_total",
             "Late, repeated or foreign chunks that were dropped.",
