Show that an upstream is asked again in the time for which it wants nothing

Callers saw requests refused that other upstreams had room for; the upstream that shed load saw three and more of one entry in the 3 s that it had asked for.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -264,6 +264,12 @@
         url = f"http://{self.address[name]}/control"
         self.client.post(url, json={"limit": limit}).raise_for_status()
 
+    def shed(self, name: str, retry_after: str) -> None:
+        """Have a worker refuse all and ask for a pause, "" to stop that."""
+        url = f"http://{self.address[name]}/control"
+        data = {"retry_after": retry_after}
+        self.client.post(url, json=data).raise_for_status()
+
     def withdraw(self, name: str) -> None:
         """Take a worker's entry away."""
         self._append("keyed.servers", name, None)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -35,6 +35,8 @@
         self.slots = settings.get("slots", 6)
         self.faulty = settings.get("faulty", True)
         self.limit = ""
+        # With this it refuses all that arrives, "" to refuse nothing.
+        self.retry_after = ""
         self.runs: list[dict[str, Any]] = []
         self.cancelled: list[str] = []
         self.reached: list[dict[str, Any]] = []
@@ -118,10 +120,16 @@
             data = json.loads(self.body or b"{}")
             self.worker.faulty = data.get("faulty", self.worker.faulty)
             self.worker.limit = data.get("limit", self.worker.limit)
+            self.worker.retry_after = data.get(
+                "retry_after", self.worker.retry_after
+            )
             if data.get("shed"):
                 self.shed_undecided()
             self.whole(b"{}")
             return
+        if self.worker.retry_after:
+            worker_faults.shed(self)
+            return
         wanted = self.header("expect-instance")
         if wanted and wanted != self.worker.id:
             self.head(421, [("Instance-Id", self.worker.id)], b"")
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -26,7 +26,10 @@
 def shed(channel: Channel) -> None:
     """Refuse as a full worker does."""
     channel.worker.shed += 1
-    channel.head(503, [("Not-Executed", "1")], b"")
+    more = [("Not-Executed", "1")]
+    if channel.worker.retry_after:
+        more.append(("Retry-After", channel.worker.retry_after))
+    channel.head(503, more, b"")
 
 
 def _undecided(channel: Channel) -> None:
