Give an upstream no new work once an answer of its own says that it leaves

Cause: entries took that an upstream leaves from the list alone; what its answers say was not read.

A new start is used at once.

--- a/features/models/shedding.py
+++ b/features/models/shedding.py
@@ -10,6 +10,7 @@
 __license__ = "Apache-2.0"
 
 import dataclasses
+import math
 import random
 import types
 from typing import Any
@@ -37,6 +38,9 @@
 # platform's statement: this late, in seconds, and so many requests.
 ON_ITS_WAY_S = 0.5
 ON_ITS_WAY = 2
+# A request may go to an upstream that leaves if its caller sent it no later
+# than this after the entry was told, by the platform's statement, in seconds.
+DRAIN_S = 2.0
 EVENTS = 5
 READ = route.Route(
     name="r1",
@@ -61,6 +65,9 @@
       retry_after_s: It refuses all, and asks for so long without requests.
       asks: When each refusal reached the entry, and until when it counts.
       arrivals: When requests arrived.
+      leaving: Whether its answers say that it is about to end.
+      told_at: When the first of those reached the entry.
+      asked_at: When the callers of the requests that arrived had asked.
     """
 
     name: str
@@ -68,6 +75,9 @@
     retry_after_s: float | None = None
     asks: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     arrivals: list[float] = dataclasses.field(default_factory=list)
+    leaving: bool = False
+    told_at: float = math.inf
+    asked_at: list[float] = dataclasses.field(default_factory=list)
 
 
 class Http:
@@ -104,8 +114,12 @@
         world, by_name = self._world, dict(request.headers)
         self._upstream = found = world.upstream_at(self.address)
         found.arrivals.append(world.clock.now)
+        asked = world.calls[int(by_name[b"Request-Id"], 16)]
+        found.asked_at.append(asked.arrived_at)
         first = int(by_name.get(b"Last-Event-Id", b"0")) + 1
         rows = [(b"Request-Id", by_name[b"Request-Id"])]
+        if found.leaving:
+            rows += [(b"Server-Leaving", b"1")]
         if found.retry_after_s is not None:
             rows += [(b"Not-Executed", b"1")]
             rows += [(b"Retry-After", b"%g" % found.retry_after_s)]
@@ -123,10 +137,12 @@
     async def head(self) -> connection.Head:
         """Wait for the answer to begin."""
         await self._world.later(self._world.random.uniform(0.0, 0.1))
+        now, upstream = self._world.clock.now, self._upstream
+        if self._head.get(b"Server-Leaving"):
+            upstream.told_at = min(upstream.told_at, now)
         if self._head.status == 503:
-            now = self._world.clock.now
             until = now + float(self._head.get(b"Retry-After"))
-            self._upstream.asks.append((now, until))
+            upstream.asks.append((now, until))
         return self._head
 
     async def chunk(self) -> bytes | None:
@@ -305,6 +321,13 @@
                 worst = max(worst, len(early) - ON_ITS_WAY)
         return worst
 
+    def after_leaving(self) -> int:
+        """Return the most requests to an upstream known to be leaving."""
+        return max(
+            sum(at > item.told_at + DRAIN_S for at in item.asked_at)
+            for item in (*self.upstreams.values(), *self.over)
+        )
+
 
 class _NoSuspects:
     """Suspects nobody."""
@@ -323,14 +346,18 @@
     begin = end = ended_well = note_lost = ignore
 
 
-def play(seed: int) -> World:
-    """Play one generated trace of some 10 s."""
+SHEDDING = ("shed", "shed", "recover", "relist", "restart")
+LEAVING = (*SHEDDING, "leave")
+
+
+def play(seed: int, *, events: tuple[str, ...] = SHEDDING) -> World:
+    """Play one generated trace of some 10 s, in which such events happen."""
     made = random.Random(seed)
     world = World(seed=seed, count=made.choice((1, 2, 3, 6)))
     names = list(world.upstreams)
     for _ in range(int(10 / STEP_S)):
         if made.random() < 0.05:
-            _happen(world, made, made.choice(names))
+            _happen(world, made.choice(events), made.choice(names))
         for _ in range(made.choice((0, 1, 1, 4))):
             found = made.choice((READ, STREAM))
             world.ask(found, wait_s=made.choice((0.1, 2.0)))
@@ -340,18 +367,20 @@
     return world
 
 
-def _happen(world: World, made: random.Random, name: str) -> None:
+def _happen(world: World, event: str, name: str) -> None:
     """Have something happen to an upstream."""
     found = world.upstreams[name]
-    match made.choice(("shed", "shed", "recover", "relist", "restart")):
+    match event:
         case "shed":
-            found.retry_after_s = made.choice((0.7, 1.5, 3.0))
+            found.retry_after_s = world.random.choice((0.7, 1.5, 3.0))
         case "recover":
             found.retry_after_s = None
         case "relist":
             world.listing.write(name, None)
             world.reactor.callLater(
-                made.uniform(0.1, 1.0), world.announce, name
+                world.random.uniform(0.1, 1.0), world.announce, name
             )
+        case "leave":
+            found.leaving = True
         case "restart":
             world.start_upstream(name)
--- a/packages/reelscale-core/src/reelscale_core/announcement.py
+++ b/packages/reelscale-core/src/reelscale_core/announcement.py
@@ -28,6 +28,14 @@
             return self.name
         return f"{self.name}@{self.born_ms}"
 
+    def lived_at(self, unix_s: float) -> bool:
+        """Tell whether it may have answered at a time.
+
+        A start is heard of some time after its birth; until then its answers
+        seem to be those of the start before it.
+        """
+        return self.born_ms is None or self.born_ms <= unix_s * 1000
+
 
 class Announcement(NamedTuple):
     """One start of an upstream's process, as it announced itself.
--- a/packages/reelscale-core/src/reelscale_core/backoff.py
+++ b/packages/reelscale-core/src/reelscale_core/backoff.py
@@ -38,15 +38,6 @@
     return Backoff(until, clock.wall())
 
 
-def holds_for(backoff: Backoff, born_ms: int | None) -> bool:
-    """Tell whether a start that was born at a time may have asked for it.
-
-    A start is heard of some time after its birth, and until then its
-    refusals seem to be those of the start before it.
-    """
-    return born_ms is not None and born_ms <= backoff.heard_at * 1000
-
-
 def left_s(backoff: Backoff | None, now: float) -> float:
     """Return for how long an upstream wants nothing more, in seconds."""
     return 0.0 if backoff is None else max(0.0, backoff.until - now)
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -185,6 +185,7 @@
       retry_after_s: When the upstream asks to be tried again, if it does.
       load: How busy the upstream is, if it told.
       rate_limit: How many requests a second it takes.
+      leaving: Whether it says that it is about to end.
     """
 
     status: int
@@ -194,6 +195,7 @@
     retry_after_s: float | None = None
     load: announcement.Load | None = None
     rate_limit: RateLimit = NoRateLimit()
+    leaving: bool = False
 
 
 class Dialect(Protocol):
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -270,6 +270,7 @@
         elif starts.is_other(view.upstream.born_ms, item.born_ms):
             self._connections.close_idle(view.upstream.address)
             self.backoffs.start_again(view.upstream.start, item.start)
+            self.departures.start_again(view.upstream.start, item.start)
             LOG.info(
                 "An upstream has started again; nothing of before holds.",
                 born_before_ms=view.upstream.born_ms,
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/upstreams.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/upstreams.py
@@ -17,7 +17,7 @@
 from .. import metrics
 from ..adapters import base
 from ..filters import call
-from . import backoffs, groups, rate_limits, targets, usage
+from . import backoffs, departures, groups, rate_limits, targets, usage
 from . import view as views
 
 
@@ -30,6 +30,7 @@
       on_change: Called after a change of the views.
       rate_limits: The limits that upstreams name themselves.
       backoffs: Which upstreams want no requests for a while.
+      departures: Which upstreams have said in answers that they leave.
       groups: Which group of ranks each one is in.
     """
 
@@ -74,6 +75,9 @@
             metrics=metrics,
             on_over=self.tell_change,
         )
+        self.departures = departures.Departures(
+            clock=clock, on_change=self.tell_change
+        )
         self.groups = groups.Groups(
             reactor=reactor,
             clock=clock,
@@ -168,13 +172,19 @@
         return [per_s for per_s in found if per_s is not None]
 
     def _serving(self, target: str) -> list[views.View]:
-        rows = self.views_by_name.values()
-        return [view for view in rows if view.serves(target)]
+        return [
+            view
+            for view in self.views_by_name.values()
+            if view.serves(target)
+            and not self.departures.leaving(view.upstream.start)
+        ]
 
     def listed(self, start: announcement.Start) -> bool:
         """Tell whether a start is listed and not leaving."""
         view = self.view_of(start)
-        return view is not None and not view.gone and not view.upstream.leaving
+        if view is None or view.gone or self.departures.leaving(start):
+            return False
+        return not view.upstream.leaving
 
     def started_again(self, start: announcement.Start) -> bool:
         """Tell whether another start has taken the place of one."""
@@ -195,14 +205,27 @@
             self.rate_limits.heard(start.key, stated)
 
     def note_backoff(self, start: announcement.Start, seconds: float) -> None:
-        """Take for how long a refusal asks to be left alone.
+        """Take for how long a refusal asks to be left alone."""
+        self.backoffs.heard(self._known_start(start), seconds)
+
+    def note_leaving(self, start: announcement.Start) -> None:
+        """Take that an answer says that its upstream leaves."""
+        self.departures.heard(self._known_start(start))
+
+    def unwanted(self, start: announcement.Start) -> str:
+        """Return why a start wants no request now; "" if it may get one."""
+        if self.departures.leaving(start):
+            return "leaving"
+        return "backoff" if self.backoffs.left_s(start) else ""
+
+    def _known_start(self, start: announcement.Start) -> announcement.Start:
+        """Return the start that an answer is of.
 
-        An answer that was on its way as another start was heard of may be
-        that one's, which serves at the same address.
+        One that was on its way as another start was heard of may be that
+        one's, which serves at the same address.
         """
         view = self.views_by_name.get(start.name)
-        now = start if view is None else view.upstream.start
-        self.backoffs.heard(now, seconds)
+        return start if view is None else view.upstream.start
 
     def note_pause(self, asked: call.Call, pause_s: float) -> None:
         """Take the pause between two events of a stream."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -21,8 +21,6 @@
 CONNECT_MOST_S = 1.2
 # The code of a request whose own time is up.
 TIMEOUT = "timeout"
-# The code of an attempt whose upstream wants no requests for a while.
-BACKOFF = "backoff"
 
 
 async def run(
@@ -86,24 +84,24 @@
 ) -> None:
     """See that the upstream still wants a request, now that one can be sent.
 
-    Opening a connection takes up to a second, in which it may have refused
-    others.
+    Opening a connection takes up to a second, in which answers to others may
+    have told that it wants none.
 
     Raises:
-      AttemptLostError: "backoff"; it got nothing.
+      AttemptLostError: "backoff" or "leaving"; it got nothing.
     """
-    left_s = given.membership.backoffs.left_s(upstream.start)
-    if not left_s:
+    code = given.membership.unwanted(upstream.start)
+    if not code:
         return
     LOG.info(
         "An upstream no longer wants a request that was chosen for it.",
         request=asked.id,
         upstream=upstream.start.key,
-        left_s=round(left_s, 3),
+        code=code,
         attempt=len(asked.attempts),
     )
     raise attempt.AttemptLostError(
-        BACKOFF, peer=upstream.name, not_run=True, unsent=True
+        code, peer=upstream.name, not_run=True, unsent=True
     )
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -89,6 +89,8 @@
             sent.upstream.start, answered.rate_limit
         )
         _note_backoff(sent, answered)
+        if answered.leaving:
+            given.membership.note_leaving(sent.upstream.start)
     if answered.not_run:
         raise await _refused(sent, answered)
     given.outages.note_answered(sent.asked, sent.name)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -270,6 +270,11 @@
         data = {"retry_after": retry_after}
         self.client.post(url, json=data).raise_for_status()
 
+    def say_leaving(self, name: str) -> None:
+        """Have a worker say in its answers alone that it leaves."""
+        url = f"http://{self.address[name]}/control"
+        self.client.post(url, json={"leaving": True}).raise_for_status()
+
     def withdraw(self, name: str) -> None:
         """Take a worker's entry away."""
         self._append("keyed.servers", name, None)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -37,6 +37,8 @@
         self.limit = ""
         # With this it refuses all that arrives, "" to refuse nothing.
         self.retry_after = ""
+        # Whether its answers say that it is about to end.
+        self.leaving = False
         self.runs: list[dict[str, Any]] = []
         self.cancelled: list[str] = []
         self.reached: list[dict[str, Any]] = []
@@ -120,6 +122,7 @@
             data = json.loads(self.body or b"{}")
             self.worker.faulty = data.get("faulty", self.worker.faulty)
             self.worker.limit = data.get("limit", self.worker.limit)
+            self.worker.leaving = data.get("leaving", self.worker.leaving)
             self.worker.retry_after = data.get(
                 "retry_after", self.worker.retry_after
             )
@@ -193,6 +196,8 @@
         ]
         if self.worker.limit:
             rows.append(("Server-Limit", self.worker.limit))
+        if self.worker.leaving:
+            rows.append(("Server-Leaving", "1"))
         lines = [f"HTTP/1.1 {status} Reason"]
         lines += [f"{name}: {value}" for name, value in rows]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
