Take no group to be out of which streams go on

Cause: three different ranks that refuse in a row were taken for a group that is out, and only the head of an answer ended the row; a refusal comes within 2 ms, a head after 150.

Change: events of any stream end the row as well: ranks step together, so a group with progress is not out. One that stands still has none.

--- a/features/models/shedding.py
+++ b/features/models/shedding.py
@@ -21,6 +21,7 @@
     admit,
     call,
     direct,
+    outage,
     parts,
     relay,
     routed,
@@ -291,6 +292,7 @@
 
     async def _serve(self, asked: call.Call) -> None:
         try:
+            await outage.check_outage(asked, self.given)
             await admit.admit(asked, self.given)
             await relay.relay(asked, self.given)
         except error.CodedError as refused:
--- a/features/steps/entry_groups_steps.py
+++ b/features/steps/entry_groups_steps.py
@@ -100,7 +100,7 @@
 
 @when("the first group answers")
 def _(context):
-    context.outages.note_answered(context.asked, "g0-r3")
+    context.outages.note_progress(context.asked, "g0-r3")
 
 
 @then("requests may go to both groups")
--- a/packages/reelscale-core/src/reelscale_core/outage.py
+++ b/packages/reelscale-core/src/reelscale_core/outage.py
@@ -3,6 +3,8 @@
 The ranks of a group step together, so when one is gone all refuse until it
 is back.  Asking one rank after another is then in vain: requests are refused
 at once, and one now and then is let through to see whether the group is back.
+A group is not out while anything of it goes on, however many of its ranks
+shed load.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -25,7 +27,7 @@
     """How a group answered lately, as one entry saw it.
 
     Attributes:
-      refused: Upstreams that refused since the last answer.
+      refused: Upstreams that refused since the group last got on with work.
       tried_at: Monotonic seconds of the last request let through.
     """
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/outages.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/outages.py
@@ -94,8 +94,12 @@
                 "A group refuses work.", target=asked.target, group=group
             )
 
-    def note_answered(self, asked: call.Call, upstream: str) -> None:
-        """Note that an upstream took a request."""
+    def note_progress(self, asked: call.Call, upstream: str) -> None:
+        """Note that an upstream took a request, or goes on with one.
+
+        All ranks of a group step together, so events of any stream show that
+        the group works: ranks that refuse then do so for themselves.
+        """
         group = self._group_of(upstream)
         old = self._outage_by_group.pop((asked.target, group), None)
         if asked.is_model and old is not None and old.out:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -93,7 +93,7 @@
             given.membership.note_leaving(sent.upstream.start)
     if answered.not_run:
         raise await _refused(sent, answered)
-    given.outages.note_answered(sent.asked, sent.name)
+    given.outages.note_progress(sent.asked, sent.name)
     _check_own(sent, answered)
     if _is_stream(answered):
         await _relay_events(sent, answered)
@@ -223,6 +223,7 @@
             continue
         _check_order(sent, whole)
         _give_events(sent, answered, whole)
+        sent.given.outages.note_progress(sent.asked, sent.name)
         last_at = _note_pause(sent, last_at)
     if cutter.rest:
         raise _garbled(sent)
