Tell a refused caller when its target has room, not when one upstream has

Callers saw: refused after two ranks that shed load, with Retry-After 3.0, while eleven others had room; most heed it only up to a third of their time.

Cause: the time that the lost upstream asked for itself was handed to the caller as if it were the target's. Ruled out: that it protects the upstream: that is now left alone by the entry.

Change: callers are told by the queue of the target, or when the first of its upstreams wants requests, if none does now. What only carried the number along is gone; the agents' own refusals (busy, 200 ms) were rounded up to 1 s anyway.

backoff.feature, "A caller is told when the target has room, not when one upstream has": failed before (told 3.0 s).

--- a/features/backoff.feature
+++ b/features/backoff.feature
@@ -48,6 +48,12 @@
     And the list tells at 21 s that it was born again at 20.6 s
     Then it wants nothing for 0 s more
 
+  Scenario: A caller is told when the target has room, not when one upstream has
+    Given an entry and 3 upstreams of which 2 want no requests for 3 s
+    When a request is refused by both of them
+    Then it is told to come back before those 3 s are over
+    And one that comes back then is served
+
   Scenario Outline: How long an upstream asks for
     Then a refusal with "Retry-After: <text>" asks for <seconds>
 
--- a/features/steps/backoff_steps.py
+++ b/features/steps/backoff_steps.py
@@ -16,14 +16,14 @@
 from reelscale_platform import worker
 from twisted.internet import task
 
-from features.models import shedding
+from features.models import shedding as model
 from standins import fleet
 
 COUNTS = {"one": 1, "two": 2, "three": 3}
 # What was sent before the refusal was read may arrive this much later, in
 # seconds, and be so many requests; both are stated by the platform.
-ON_ITS_WAY_S = shedding.ON_ITS_WAY_S
-ON_ITS_WAY = shedding.ON_ITS_WAY
+ON_ITS_WAY_S = model.ON_ITS_WAY_S
+ON_ITS_WAY = model.ON_ITS_WAY
 
 
 @given('a fleet of {count} workers of "{service}"')
@@ -86,7 +86,7 @@
 
 
 def _play(context, count):
-    worlds = [shedding.play(seed) for seed in range(count)]
+    worlds = [model.play(seed) for seed in range(count)]
     assert not any(world.faults for world in worlds)
     asks = [
         len(item.asks)
@@ -130,17 +130,17 @@
     "requests"
 )
 def _(context, count, seconds):
-    world = context.world = shedding.World(seed=1, count=count, slow_share=0.0)
+    world = context.world = model.World(seed=1, count=count, slow_share=0.0)
     for item in world.upstreams.values():
         item.retry_after_s = float(seconds)
-    world.ask(shedding.READ)
+    world.ask(model.READ)
     _steps(world, 0.4)
     asks = [item.asks for item in world.upstreams.values()]
     assert all(len(rows) == 1 for rows in asks), asks
 
 
 def _steps(world, seconds):
-    for _ in range(round(seconds / shedding.STEP_S)):
+    for _ in range(round(seconds / model.STEP_S)):
         world.step()
 
 
@@ -152,7 +152,7 @@
 
 @then("a request is served")
 def _(context):
-    asked = context.world.ask(shedding.READ, wait_s=0.0)
+    asked = context.world.ask(model.READ, wait_s=0.0)
     _steps(context.world, 3.0)
     assert asked.http.status == 200, asked
 
@@ -164,7 +164,7 @@
 
 @when("a request that may wait for {seconds:d} s comes")
 def _(context, seconds):
-    lasting = shedding.READ._replace(timeout_s=20.0)
+    lasting = model.READ._replace(timeout_s=20.0)
     context.asked = context.world.ask(lasting, wait_s=float(seconds))
 
 
@@ -226,3 +226,41 @@
 def _(context, seconds):
     left_s = context.backoffs.left_s(context.start)
     assert abs(left_s - seconds) < 0.001, left_s
+
+
+@given(
+    "an entry and {count:d} upstreams of which {shedding:d} want no requests "
+    "for {seconds:d} s"
+)
+def _(context, count, shedding, seconds):
+    world = context.world = model.World(seed=1, count=count, slow_share=0.0)
+    context.asked_s = float(seconds)
+    for item in list(world.upstreams.values())[:shedding]:
+        item.retry_after_s = context.asked_s
+
+
+@when("a request is refused by both of them")
+def _(context):
+    world = context.world
+    for _ in range(20):
+        asked = world.ask(model.READ)
+        _steps(world, 0.4)
+        if asked.code == "upstream-503":
+            return
+        assert not any(u.asks for u in world.upstreams.values()), asked
+    raise AssertionError("no request was refused by both")
+
+
+@then("it is told to come back before those {seconds:d} s are over")
+def _(context, seconds):
+    context.after_s = context.world.refusals[-1].retry_after_s
+    assert 0 < context.after_s < seconds, context.after_s
+
+
+@then("one that comes back then is served")
+def _(context):
+    world = context.world
+    _steps(world, context.after_s)
+    asked = world.ask(model.READ)
+    _steps(world, 3.0)
+    assert asked.http.status == 200, asked
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
@@ -51,7 +51,6 @@
       not_run: Whether it is proved that the upstream did not run it.
       unsent: Whether nothing was sent, for a reason that lies with the
         choice; it then counts as no attempt, and another is free.
-      retry_after_s: When the upstream asks to be tried again.
       answer: The upstream's own failure, for the caller if no other
         upstream is tried.
     """
@@ -63,7 +62,6 @@
         peer: str,
         not_run: bool,
         unsent: bool = False,
-        retry_after_s: float | None = None,
         answer: KeptAnswer | None = None,
     ) -> None:
         super().__init__(code)
@@ -71,7 +69,6 @@
         self.peer = peer
         self.not_run = not_run
         self.unsent = unsent
-        self.retry_after_s = retry_after_s
         self.answer = answer
 
 
@@ -153,7 +150,6 @@
         verdict.code,
         peer=name,
         not_run=verdict.kind == KINDS.REFUSED,
-        retry_after_s=verdict.retry_after_ms / 1000 or None,
     )
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -128,7 +128,6 @@
         f"upstream-{answered.status}",
         peer=sent.name,
         not_run=True,
-        retry_after_s=answered.retry_after_s,
     )
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/parts.py
@@ -5,6 +5,7 @@
 
 import collections
 import itertools
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, Protocol
 
@@ -201,7 +202,9 @@
             return outage.retry_after_s(self.left_s(asked))
         queue = self.queue(asked.target)
         name = asked.workspace.name
-        return queue.retry_after_s(asked.id, name, asked.priority)
+        after_s = queue.retry_after_s(asked.id, name, asked.priority)
+        turn_s = self.membership.turn_s(asked.target, ahead=len(queue))
+        return max(after_s, turn_s) if turn_s < math.inf else after_s
 
     def left_s(self, asked: call.Call) -> float:
         """Return how long a request's answer may still take."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -153,13 +153,13 @@
     if out.begun:
         asked.outcome = error.OUTCOME_UNKNOWN
         return writer.BrokenError(lost.code, lost.peer)
-    after = lost.retry_after_s or given.retry_after_s(asked)
     return error.CodedError(
         lost.code,
         step="relay",
         peer=lost.peer,
         status=NOT_RUN_STATUS if not ran else RAN_STATUS,
         detail="the upstream did not answer this request",
-        retry_after_s=after,
+        # What the lost upstream asked for is not what the others need.
+        retry_after_s=given.retry_after_s(asked),
         outcome=error.OUTCOME_UNKNOWN if ran else error.OUTCOME_NOT_RUN,
     )
