Let an agent, too, leave its upstream alone for as long as that asks

Here the agent is the only one that speaks to the upstream, so its gate is the place: attempts are refused as not run with "backoff", and entries are granted no slots, until the time is over. Reading and bounding Retry-After now stands once (core/backoff.py).

Left: an entry that hears such a refusal asks others at once, but learns of it as a grant of none only with the next heartbeat.

--- /dev/null
+++ b/features/steps/agent_backoff_steps.py
@@ -0,0 +1,114 @@
+"""Steps on upstreams that ask their agents for a while without requests."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import itertools
+import types
+
+from behave import given, then, when
+from reelscale_core import clock
+from reelscale_daemon import metrics
+from reelscale_daemon.adapters import upstream
+from reelscale_daemon.controllers import streams
+from reelscale_wire.gen import ttypes
+from twisted.internet import task
+
+
+class _Upstream:
+    """An upstream whose answers come when a step says so."""
+
+    def ask(self, method, path, headers, body, sink, *, events):
+        """Keep where the answer goes."""
+        self.sink = sink
+        idle = {name: lambda: None for name in ("pause", "resume", "stop")}
+        return types.SimpleNamespace(**idle)
+
+
+def _start(context):
+    context.clock, context.upstream = clock.FakeClock(), _Upstream()
+    context.attempts = (f"a{number}" for number in itertools.count())
+    context.streams = streams.Streams(
+        reactor=task.Clock(),
+        clock=context.clock,
+        upstream=context.upstream,
+        metrics=metrics.Metrics(),
+        capacity=9,
+        buffer_bytes=65536,
+        incarnation="i",
+    )
+
+
+def _submit(context):
+    """Submit an attempt; return it with what the gate said."""
+    request = ttypes.Submit(
+        attempt=next(context.attempts),
+        entry="e",
+        workspace="w",
+        method="GET",
+        path="/",
+        headers=[],
+        body=b"",
+        once_key="",
+        stream=False,
+    )
+    return request, context.streams.judge(request)
+
+
+def _answer(context, status, header):
+    """Have the upstream answer a request that was admitted before."""
+    name, _, value = header.partition(": ")
+    context.sink.head(upstream.Head(status, ((name, value),)))
+    context.sink.end("", False)
+
+
+@given('an agent whose upstream has answered {status:d} with "{header}"')
+def _(context, status, header):
+    _start(context)
+    request, answer = _submit(context)
+    assert answer.admitted, answer
+    context.streams.start(request)
+    context.sink = context.upstream.sink
+    _answer(context, status, header)
+
+
+@given(
+    "an agent whose upstream has refused a request and asked for {seconds:d} s"
+)
+def _(context, seconds):
+    _start(context)
+    sinks = []
+    for _ in range(2):
+        request, answer = _submit(context)
+        assert answer.admitted, answer
+        context.streams.start(request)
+        sinks.append(context.upstream.sink)
+    context.sink, context.other_sink = sinks
+    _answer(context, 503, f"Retry-After: {seconds}")
+
+
+@when("the upstream asks for {seconds:g} s")
+def _(context, seconds):
+    context.sink = context.other_sink
+    _answer(context, 503, f"Retry-After: {seconds}")
+
+
+@then('an attempt after {seconds:g} s is refused as "{code}"')
+def _(context, seconds, code):
+    context.clock.advance(seconds - context.clock.now)
+    _, answer = _submit(context)
+    assert (answer.admitted, answer.code) == (False, code), answer
+
+
+@then("an attempt after {seconds:g} s is admitted")
+def _(context, seconds):
+    context.clock.advance(seconds - context.clock.now)
+    _, answer = _submit(context)
+    assert answer.admitted, answer
+
+
+@then("its gate is closed after {closed:g} s and open after {opened:g} s")
+def _(context, closed, opened):
+    gate = context.streams.gate
+    assert not gate.takes_work(closed)
+    assert gate.takes_work(opened)
--- a/packages/reelscale-core/src/reelscale_core/backoff.py
+++ b/packages/reelscale-core/src/reelscale_core/backoff.py
@@ -11,8 +11,16 @@
 
 from typing import NamedTuple
 
+from . import number
 from .clock import Clock
 
+# With these an upstream may say when it wants requests again (RFC 9110, 15.6.4
+# and RFC 6585, 4).
+STATUSES = (429, 503)
+# No upstream is left alone for longer, in seconds, whatever it asks for: one
+# that is sound again must not be lost for good.
+LONGEST_S = 3600.0
+
 
 class Backoff(NamedTuple):
     """What one start of an upstream has asked of this entry.
@@ -26,6 +34,15 @@
     heard_at: float
 
 
+def stated_s(retry_after: str) -> float | None:
+    """Return the seconds that a Retry-After states; None if it states none.
+
+    A date is not read: clocks of machines differ by more than upstreams ask.
+    """
+    seconds = number.decimal(retry_after)
+    return None if seconds is None else min(seconds, LONGEST_S)
+
+
 def asked(old: Backoff | None, seconds: float, clock: Clock) -> Backoff:
     """Return what counts once an upstream asks again.
 
--- a/packages/reelscale-core/src/reelscale_core/gate.py
+++ b/packages/reelscale-core/src/reelscale_core/gate.py
@@ -49,6 +49,8 @@
         """Make an open gate for capacity attempts at once."""
         self.capacity = capacity
         self.leaving = False
+        # Monotonic seconds up to which the upstream wants nothing.
+        self._backed_off_until = float("-inf")
         self.running: dict[str, str] = {}
         self._dead: OrderedDict[str, Tombstone] = OrderedDict()
 
@@ -61,11 +63,21 @@
             return Answer(True, repeated=True)
         if self.leaving:
             return self._refuse(attempt, now, "leaving")
+        if now < self._backed_off_until:
+            return self._refuse(attempt, now, "backoff")
         if len(self.running) >= self.capacity:
             return self._refuse(attempt, now, "busy")
         self.running[attempt] = entry
         return Answer(True)
 
+    def back_off(self, until: float) -> None:
+        """Admit nothing up to a time; the latest that is asked for counts."""
+        self._backed_off_until = max(self._backed_off_until, until)
+
+    def takes_work(self, now: float) -> bool:
+        """Tell whether the upstream takes new work, if it has room."""
+        return not self.leaving and now >= self._backed_off_until
+
     def refuse(self, attempt: str, now: float, code: str) -> Answer:
         """Refuse an attempt for a reason that lies outside the gate."""
         self.running.pop(attempt, None)
--- a/packages/reelscale-core/src/reelscale_core/number.py
+++ b/packages/reelscale-core/src/reelscale_core/number.py
@@ -24,20 +24,6 @@
     return int(text)
 
 
-def seconds(text: str, *, most: float) -> float | None:
-    """Return the seconds that a text holds; None if they make no sense.
-
-    Args:
-      text: A number, with a fraction or without.
-      most: More makes no sense.
-    """
-    try:
-        found = float(text)
-    except ValueError:
-        return None
-    return found if 0 <= found <= most else None
-
-
 def decimal(text: str) -> float | None:
     """Return the decimal number of zero or more that a text holds.
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 import orjson
+from reelscale_core import backoff
 from twisted.internet import defer, error, protocol
 from twisted.protocols import basic
 from twisted.web import client, http_headers, iweb
@@ -42,6 +43,14 @@
     status: int
     headers: tuple[tuple[str, str], ...]
 
+    @property
+    def backoff_s(self) -> float | None:
+        """For how long the upstream wants no requests, in seconds, if so."""
+        if self.status not in backoff.STATUSES:
+            return None
+        by_name = {name.lower(): value for name, value in self.headers}
+        return backoff.stated_s(by_name.get("retry-after", ""))
+
 
 class Sink(NamedTuple):
     """Where an answer goes.
--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -240,7 +240,7 @@
         }
         self._beats = {name: self._beats[name] for name in fresh}
         slots = 0
-        if not self._streams.gate.leaving and entry in fresh:
+        if self._streams.gate.takes_work(now) and entry in fresh:
             capacity = self._streams.gate.capacity
             slots = grant.shares(capacity, fresh)[entry]
         return ttypes.Grant(
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/streams.py
@@ -261,6 +261,7 @@
     def _sink(self, stream: Stream) -> upstreams.Sink:
         def head(value: upstreams.Head) -> None:
             stream.head = value
+            self._back_off(value)
 
         def chunk(data: bytes) -> None:
             stream.outbox.put(data)
@@ -275,6 +276,18 @@
 
         return upstreams.Sink(head, chunk, end)
 
+    def _back_off(self, head: upstreams.Head) -> None:
+        """Leave the upstream alone for as long as its answer asks."""
+        seconds = head.backoff_s
+        if seconds is None:
+            return
+        self.gate.back_off(self._clock.monotonic() + seconds)
+        LOG.info(
+            "The upstream wants no requests for a while.",
+            status=head.status,
+            seconds=seconds,
+        )
+
     def _end(self, stream: Stream, code: str, not_run: bool) -> None:
         if stream.ended:
             return
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -10,15 +10,12 @@
 
 import dataclasses
 
-from reelscale_core import announcement, events
+from reelscale_core import announcement, backoff, events
 
 from ..adapters import base
 from ..exchange import connection
 from . import attempt, call, parts, writer
 
-# With these an upstream may say when it wants requests again (RFC 9110, 15.6.4
-# and RFC 6585, 4).
-BACKOFF_STATUSES = (429, 503)
 # An upstream's answer from this status on is a failure of its own.
 FAILED = 500
 EVENT_STREAM = b"text/event-stream"
@@ -107,7 +104,7 @@
 
 def _note_backoff(sent: Sent, answered: base.Answered) -> None:
     """Note for how long the upstream wants nothing more, if it says so."""
-    if answered.status not in BACKOFF_STATUSES:
+    if answered.status not in backoff.STATUSES:
         return
     if answered.retry_after_s is not None:
         sent.given.membership.note_backoff(
