--- /dev/null
+++ b/features/steps/silent_store_steps.py
@@ -0,0 +1,116 @@
+"""Steps on connections to the store that go silent."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import time
+
+from behave import given, then, when
+from reelscale_core import clock
+from reelscale_platform import store as stores
+from twisted.internet import defer, reactor
+
+from features import platform_clients as clients
+from features import silent_relays as relays
+from standins import fleet, process
+
+TOPIC = "silent"
+
+
+def _fleet_with_relay(context, entries):
+    made = context.cluster = fleet.Fleet(entries=entries)
+    context.relay = relays.relay(context, made._store)
+    name = f"f{entries}"
+    relays.set_fields(made, name, platform=f"http://{context.relay.address}")
+    made.__enter__()
+
+
+@given("a fleet that reaches its store through a relay")
+def _(context):
+    _fleet_with_relay(context, 1)
+
+
+@given(
+    'a fleet of {count:d} entries whose "{name}" reaches its store'
+    " through a relay"
+)
+def _(context, count, name):
+    _fleet_with_relay(context, count)
+    made = context.cluster
+    for entry in made.http:
+        process.wait_for(
+            lambda entry=entry: _count(made, entry, "An entry is known.") > 1,
+            f"{entry} to know the others",
+        )
+
+
+def _count(made, entry, text):
+    return sum(row["text"] == text for row in made.log_lines(entry))
+
+
+@when("the open connections {whose} go silent, {way}")
+def _(context, whose, way):
+    assert context.relay.go_silent(way) > 0, "nothing is open"
+
+
+@then('entry "{name}" serves the key "{key}" within {seconds:d} s')
+def _(context, name, key, seconds):
+    made = context.cluster
+
+    def served():
+        answer = made.ask("/push/x", entry=name, Authorization=f"Bearer {key}")
+        return answer.status_code == 200
+
+    process.wait_for(served, f"{name} to serve {key}", seconds)
+
+
+@given("a store of its own behind a relay, with {count:d} idle connections")
+def _(context, count):
+    made = context.cluster = fleet.Fleet(entries=0, workers=())
+    made.processes["store"].start()
+    process.wait_for(lambda: made.answers(made._store), "the store")
+    context.relay = relays.relay(context, made._store)
+    context.store = stores.Store(
+        reactor=reactor,
+        clock=clock.SystemClock(),
+        address=context.relay.address,
+    )
+
+    async def use_all():
+        appends = [
+            defer.ensureDeferred(context.store.append(TOPIC, 0, [b"first"]))
+            for _ in range(count)
+        ]
+        return await defer.gatherResults(appends)
+
+    got = clients.run_on_reactor(use_all)
+    assert sorted(got) == list(range(count)), got
+    assert context.relay.open == count, context.relay.open
+
+
+def _append(context, record):
+    """Append a record; return the outcome and the seconds it took."""
+    start = time.monotonic()
+    got = clients.run_on_reactor(context.store.append, TOPIC, 0, [record])
+    return got, time.monotonic() - start
+
+
+@then("an append has no answer after {seconds:d} s at most")
+def _(context, seconds):
+    got, taken_s = _append(context, b"second")
+    assert getattr(got, "code", "") == "log-down", got
+    assert taken_s < seconds, taken_s
+
+
+@then("the next append is answered within {seconds:f} s")
+def _(context, seconds):
+    got, taken_s = _append(context, b"third")
+    assert isinstance(got, int), got
+    assert taken_s < seconds, taken_s
+
+
+@then("each append is in the log once at most")
+def _(context):
+    got = clients.run_on_reactor(context.store.read, TOPIC, 0, 0, wait_s=0)
+    assert got.rows.count(b"second") <= 1, got.rows
+    assert got.rows.count(b"third") == 1, got.rows
