Notice a rank that is slow by itself at its third long pass

Cause: every pass after the first of a stall counted for 2.5 times the average at most, so a rank that had turned slow taught the average in small steps, and once it was sound again the memory of the worst held the limit down. Ruled out: a longer memory or another clip, which only move the moment. Change: the first long pass in a row is no pass, the second is clipped, the third and later count for what they are; what is believed of the worst begins anew when the average lets half of the slots be used again.

--- a/features/platform_usage.feature
+++ b/features/platform_usage.feature
@@ -39,6 +39,12 @@
     And a group's pauses are 0.3 s for 2 s where 0.12 s is good
     Then its limit is at most half
 
+  Scenario: A rank that is no longer slow leaves no limit behind
+    When a group's pauses are 0.06 s for 5 s where 0.12 s is good
+    And a group's pauses are 0.6 s for 4 s where 0.12 s is good
+    And a group's pauses are 0.06 s for 6 s where 0.12 s is good
+    Then at least half of its slots may be in use
+
   Scenario: A limit that is kept in vain is given up
     When a group's pauses are 0.2 s for 3 s where 0.12 s is good
     And they stay so though its limit is kept
--- a/features/steps/platform_usage_steps.py
+++ b/features/steps/platform_usage_steps.py
@@ -190,6 +190,12 @@
     assert context.pace.limit <= 0.5, context.pace
 
 
+@then("at least half of its slots may be in use")
+def _(context):
+    assert not context.pace.vain, context.pace
+    assert context.pace.limit >= pace.CURED, context.pace
+
+
 @then("its limit has come up to the whole")
 def _(context):
     assert context.pace.limit == 1.0, context.pace
--- a/packages/reelscale-core/src/reelscale_core/pace.py
+++ b/packages/reelscale-core/src/reelscale_core/pace.py
@@ -40,9 +40,11 @@
 # A pause that is so many times what passes took on average is none: the group
 # was held, or a rank was away for a moment.  The next one tells.
 STALLED = 3.0
-# A pass counts for so many times the average at most: after a stall some more
-# are long, and one extreme would fill the memory of the worst for seconds.
+# A pass counts for so many times the average at most: after a stall another
+# is long, and one extreme would fill the memory of the worst for seconds.
 CLIPPED = 2.5
+# So many passes in a row that long are no stall; they count for what they are.
+SLOW_PASSES = 3
 # If, on average, only a smaller part of the slots than this keeps passes good,
 # no demand for experts explains that.
 HOPELESS = 0.25
@@ -69,7 +71,7 @@
       worst_s: The highest estimate of the last seconds.
       newest_s: The largest of the sample in progress.
       sampled_at: Monotonic seconds of the last whole sample.
-      stalled: Whether the last sample was taken for a stall.
+      long_passes: Samples in a row that a stall may explain.
       too_long: Passes in a row that were too long while the limit was kept.
       vain: Whether a limit would do no good.
     """
@@ -80,7 +82,7 @@
     worst_s: float = 0.0
     newest_s: float = 0.0
     sampled_at: float = float("-inf")
-    stalled: bool = False
+    long_passes: int = 0
     too_long: int = 0
     vain: bool = False
 
@@ -110,8 +112,10 @@
     newest_s = max(added_s, pace.newest_s)
     if now - pace.sampled_at < SAMPLE_S:
         return pace._replace(newest_s=newest_s)
-    if _is_stall(pace, newest_s):
-        return pace._replace(newest_s=0.0, sampled_at=now, stalled=True)
+    long_passes = pace.long_passes + 1 if _is_long(pace, newest_s) else 0
+    pace = pace._replace(long_passes=long_passes)
+    if long_passes == 1:
+        return pace._replace(newest_s=0.0, sampled_at=now)
     made = _sampled(pace, newest_s, now)
     kept = used <= pace.limit
     too_long = made.too_long + 1 if kept and pause_s > longest_s else 0
@@ -125,23 +129,25 @@
     cured = usual >= CURED
     in_vain = usual < HOPELESS or pace.too_long >= VAIN_PASSES
     vain = not cured and (pace.vain or in_vain)
+    if pace.vain and not vain:
+        # What the slow rank cost says nothing of the passes without it.
+        pace = pace._replace(worst_s=pace.mean_s, variance=0.0)
     safe = left_s / pace.worst_s if pace.worst_s else 1.0
     limit = 1.0 if vain else min(1.0, max(LEAST, safe))
     return pace._replace(limit=limit, vain=vain)
 
 
-def _is_stall(pace: Pace, added_s: float) -> bool:
-    """Tell whether a sample is a single one far above all others."""
-    if pace.mean_s is None or pace.stalled:
-        return False
-    return added_s > STALLED * pace.mean_s
+def _is_long(pace: Pace, added_s: float) -> bool:
+    """Tell whether a sample is far above what passes took on average."""
+    return pace.mean_s is not None and added_s > STALLED * pace.mean_s
 
 
 def _sampled(pace: Pace, added_s: float, now: float) -> Pace:
     """Take one pass into the estimates."""
     if pace.mean_s is None:
         return Pace(1.0, added_s, 0.0, added_s, 0.0, now)
-    added_s = min(added_s, CLIPPED * pace.mean_s)
+    if pace.long_passes < SLOW_PASSES:
+        added_s = min(added_s, CLIPPED * pace.mean_s)
     since_s = now - pace.sampled_at
     weight = 1.0 - 0.5 ** (since_s / HALF_LIFE_S)
     off_s = added_s - pace.mean_s
@@ -155,5 +161,4 @@
         worst_s=max(upper_s, faded_s),
         newest_s=0.0,
         sampled_at=now,
-        stalled=False,
     )
