Keep one fake of an agent's streams, and one way to play all traces

The steps on agents' backoffs and on their streams had the same fake upstream and the same submission (features/agent_fakes.py); backoff and leaving steps played and stepped traces by themselves (models/shedding.py). Nothing checked changed: agent_backoff, agent_streams, leaving, backoff: 48 scenarios passed.

--- a/features/models/shedding.py
+++ b/features/models/shedding.py
@@ -310,6 +310,11 @@
         self.clock.advance(STEP_S)
         self.reactor.advance(STEP_S)
 
+    def pass_time(self, seconds: float) -> None:
+        """Let some time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.step()
+
     def unwanted(self) -> int:
         """Return the most arrivals beyond what was on its way, of any ask."""
         worst = 0
@@ -364,11 +369,17 @@
             found = made.choice((READ, STREAM))
             world.ask(found, wait_s=made.choice((0.1, 2.0)))
         world.step()
-    for _ in range(int(6 / STEP_S)):
-        world.step()
+    world.pass_time(6.0)
     return world
 
 
+def play_all(count: int, *, events: tuple[str, ...] = SHEDDING) -> list[World]:
+    """Play so many traces, none of which ends by a fault of ours."""
+    worlds = [play(seed, events=events) for seed in range(count)]
+    assert not any(world.faults for world in worlds)
+    return worlds
+
+
 def _happen(world: World, event: str, name: str) -> None:
     """Have something happen to an upstream."""
     found = world.upstreams[name]
--- a/features/steps/agent_backoff_steps.py
+++ b/features/steps/agent_backoff_steps.py
@@ -4,54 +4,21 @@
 __license__ = "Apache-2.0"
 
 import itertools
-import types
 
 from behave import given, then, when
-from reelscale_core import clock
-from reelscale_daemon import metrics
 from reelscale_daemon.adapters import upstream
-from reelscale_daemon.controllers import streams
-from reelscale_wire.gen import ttypes
-from twisted.internet import task
 
-
-class _Upstream:
-    """An upstream whose answers come when a step says so."""
-
-    def ask(self, method, path, headers, body, sink, *, events):
-        """Keep where the answer goes."""
-        self.sink = sink
-        idle = {name: lambda: None for name in ("pause", "resume", "stop")}
-        return types.SimpleNamespace(**idle)
+from features import agent_fakes
 
 
 def _start(context):
-    context.clock, context.upstream = clock.FakeClock(), _Upstream()
+    agent_fakes.start(context, capacity=9)
     context.attempts = (f"a{number}" for number in itertools.count())
-    context.streams = streams.Streams(
-        reactor=task.Clock(),
-        clock=context.clock,
-        upstream=context.upstream,
-        metrics=metrics.Metrics(),
-        capacity=9,
-        buffer_bytes=65536,
-        incarnation="i",
-    )
 
 
 def _submit(context):
     """Submit an attempt; return it with what the gate said."""
-    request = ttypes.Submit(
-        attempt=next(context.attempts),
-        entry="e",
-        workspace="w",
-        method="GET",
-        path="/",
-        headers=[],
-        body=b"",
-        once_key="",
-        stream=False,
-    )
+    request = agent_fakes.submission(next(context.attempts))
     return request, context.streams.judge(request)
 
 
--- a/features/steps/agent_streams_steps.py
+++ b/features/steps/agent_streams_steps.py
@@ -5,17 +5,13 @@
 
 import signal
 import time
-import types
 
 from behave import given, then, when
-from reelscale_core import clock
-from reelscale_daemon import metrics
 from reelscale_daemon.adapters import upstream
-from reelscale_daemon.controllers import streams
 from reelscale_wire.gen import ttypes
-from twisted.internet import defer, task
+from twisted.internet import defer
 
-from features import slow_callers
+from features import agent_fakes, slow_callers
 from standins import cluster, process
 
 KILOBYTE = 1000
@@ -27,9 +23,6 @@
 PIECE = b"z" * 100
 # By then, in seconds, an agent has ended that waits for nothing more.
 EXIT_S = 10
-# What agents hold unless their settings say otherwise, in bytes; see
-# buffer_bytes in settings.schema.json of reelscale_core.
-USUAL_BYTES = 65536
 
 
 def _services(context, held_bytes):
@@ -47,7 +40,7 @@
 
 @given("a cluster of its own whose agents hold up to 64 KB of an answer")
 def _(context):
-    _services(context, USUAL_BYTES)
+    _services(context, agent_fakes.USUAL_BYTES)
 
 
 @when("a caller asks a service for {size:d} KB")
@@ -130,43 +123,13 @@
     assert body.count(b"y") >= len(LONG), (len(body), head[:300])
 
 
-# The streams of an agent alone, on a clock that moves when told to.
-
-
-class _Upstream:
-    """An upstream whose answers come when a step says so."""
-
-    def ask(self, method, path, headers, body, sink, *, events):
-        """Keep where the answer goes."""
-        self.sink = sink
-        idle = {name: lambda: None for name in ("pause", "resume", "stop")}
-        return types.SimpleNamespace(**idle)
+# The streams of an agent alone.
 
 
 def _start_stream(context):
-    context.clock, context.reactor = clock.FakeClock(), task.Clock()
+    agent_fakes.start(context, capacity=1)
     context.silent_s = 0
-    context.upstream = _Upstream()
-    context.streams = streams.Streams(
-        reactor=context.reactor,
-        clock=context.clock,
-        upstream=context.upstream,
-        metrics=metrics.Metrics(),
-        capacity=1,
-        buffer_bytes=USUAL_BYTES,
-        incarnation="i",
-    )
-    request = ttypes.Submit(
-        attempt="a",
-        entry="e",
-        workspace="w",
-        method="GET",
-        path="/",
-        headers=[],
-        body=b"",
-        once_key="",
-        stream=False,
-    )
+    request = agent_fakes.submission("a")
     assert context.streams.judge(request).admitted
     context.streams.start(request)
     context.upstream.sink.head(upstream.Head(200, ()))
--- a/features/steps/backoff_steps.py
+++ b/features/steps/backoff_steps.py
@@ -86,8 +86,7 @@
 
 
 def _play(context, count):
-    worlds = [model.play(seed) for seed in range(count)]
-    assert not any(world.faults for world in worlds)
+    worlds = model.play_all(count)
     asks = [
         len(item.asks)
         for world in worlds
@@ -134,26 +133,21 @@
     for item in world.upstreams.values():
         item.retry_after_s = float(seconds)
     world.ask(model.READ)
-    _steps(world, 0.4)
+    world.pass_time(0.4)
     asks = [item.asks for item in world.upstreams.values()]
     assert all(len(rows) == 1 for rows in asks), asks
 
 
-def _steps(world, seconds):
-    for _ in range(round(seconds / model.STEP_S)):
-        world.step()
-
-
 @when("the upstream starts again")
 def _(context):
     context.world.start_upstream("w1")
-    _steps(context.world, 1.0)
+    context.world.pass_time(1.0)
 
 
 @then("a request is served")
 def _(context):
     asked = context.world.ask(model.READ, wait_s=0.0)
-    _steps(context.world, 3.0)
+    context.world.pass_time(3.0)
     assert asked.http.status == 200, asked
 
 
@@ -171,7 +165,7 @@
 @then("it is served {seconds:d} s after the refusal")
 def _(context, seconds):
     world = context.world
-    _steps(world, 10.0)
+    world.pass_time(10.0)
     (item,) = world.upstreams.values()
     (refused_at, _), arrived_at = item.asks[0], item.arrivals[-1]
     assert context.asked.http.status == 200, context.asked
@@ -244,7 +238,7 @@
     world = context.world
     for _ in range(20):
         asked = world.ask(model.READ)
-        _steps(world, 0.4)
+        world.pass_time(0.4)
         if asked.code == "upstream-503":
             return
         assert not any(u.asks for u in world.upstreams.values()), asked
@@ -260,7 +254,7 @@
 @then("one that comes back then is served")
 def _(context):
     world = context.world
-    _steps(world, context.after_s)
+    world.pass_time(context.after_s)
     asked = world.ask(model.READ)
-    _steps(world, 3.0)
+    world.pass_time(3.0)
     assert asked.http.status == 200, asked
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -38,10 +38,7 @@
 
 
 def _play(context, count):
-    worlds = [
-        shedding.play(seed, events=shedding.LEAVING) for seed in range(count)
-    ]
-    assert not any(world.faults for world in worlds)
+    worlds = shedding.play_all(count, events=shedding.LEAVING)
     context.worst = max(world.after_leaving() for world in worlds)
 
 
@@ -73,15 +70,10 @@
     asked = []
     for _ in range(count):
         asked.append(world.ask(shedding.READ, wait_s=0.0))
-        _steps(world, 1.0)
+        world.pass_time(1.0)
     return asked
 
 
-def _steps(world, seconds):
-    for _ in range(round(seconds / shedding.STEP_S)):
-        world.step()
-
-
 @given("an entry and 1 upstream that said that it leaves")
 def _(context):
     world = context.world = shedding.World(seed=1, count=1, slow_share=0.0)
