--- a/features/suspension.feature
+++ b/features/suspension.feature
@@ -25,6 +25,7 @@
       | an entry that was heard          | 5       |
       | an upstream's load               | 5       |
       | an upstream's refusal            | 5       |
+      | a backoff of 3 s                 | 5       |
       | an open circuit                  | 5       |
       | a connection that was idle       | 5       |
       | a conviction                     | 400     |
