--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/membership.py
@@ -7,95 +7,23 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-import dataclasses
-from collections.abc import Sequence
 from typing import Any
 
-from reelscale_core import circuit, clock, error, model, rendezvous, routing
+from reelscale_core import clock, error, model, rendezvous, routing
 from reelscale_wire import link
 from reelscale_wire.gen import ttypes
 from twisted.internet import defer, task
 
 from .. import logs
 from ..adapters import platform
-from . import config, follower
+from . import config, follower, granted_view
 
 LOG = logs.Part("membership")
 # Other entries that an entry exchanges offsets with.
 PEER_ENTRIES = 8
 PEERS_EVERY_S = 5.0
 BOXES_EVERY_S = 2.0
-# An upstream that this entry has used this recently keeps its grant fresh;
-# others are asked for one when a request comes, and now and then besides.
-WARM_S = 5.0
-IDLE_EVERY_S = 20.0
 HEARTBEAT_TIMEOUT_S = 1.5
-# Monotonic seconds of what has not happened.
-NEVER = float("-inf")
-
-
-@dataclasses.dataclass(kw_only=True)
-class View:
-    """An upstream as this entry sees it.
-
-    Attributes:
-      upstream: Its configuration.
-      pulse: The newest answer of its agent.
-      heard_at: Monotonic seconds just before that answer was asked for, or
-        NEVER if its grant no longer counts.
-      own: Requests of this entry in progress there.
-      own_reported: Those in progress when the pulse was asked for.
-      breaker: Its circuit breaker.
-      used_at: Monotonic seconds at which a request last wanted it.
-      asked_at: Monotonic seconds of the last heartbeat sent.
-      beating: The heartbeat in progress, if any.
-      tie: Settles ties between upstreams, for this entry alone.
-      heat: Recent tokens of each expert, as last asked for.
-    """
-
-    upstream: model.Upstream
-    pulse: ttypes.Pulse | None = None
-    heard_at: float = NEVER
-    own: int = 0
-    own_reported: int = 0
-    breaker: circuit.Circuit = circuit.CLOSED
-    used_at: float = NEVER
-    asked_at: float = NEVER
-    beating: defer.Deferred | None = None
-    tie: int = 0
-    heat: Sequence[int] = ()
-
-    def due(self, now: float) -> bool:
-        """Tell whether it is time for a heartbeat."""
-        warm = self.own > 0 or now - self.used_at < WARM_S
-        return warm or now - self.asked_at >= IDLE_EVERY_S
-
-    def candidate(self, now: float) -> routing.Candidate:
-        """Return what routing looks at."""
-        pulse = self.pulse
-        name, hall = self.upstream.name, self.upstream.hall
-        if pulse is None:
-            return routing.Candidate(
-                name, hall, 0, 0.0, self.own, 0, 0, 0, 0, 0.0, 0.0, False
-            )
-        lapse_s = pulse.grant.lapse_ms / 1000
-        return routing.Candidate(
-            name=name,
-            hall=hall,
-            slots=pulse.grant.slots,
-            until=self.heard_at + lapse_s,
-            own=self.own,
-            own_reported=self.own_reported,
-            running=pulse.running,
-            queued=pulse.queued,
-            capacity=pulse.capacity,
-            step_ms=pulse.step_ms,
-            reported_at=self.heard_at,
-            allowed=circuit.allows(self.breaker, now)
-            and pulse.healthy
-            and not pulse.leaving,
-            tie=self.tie,
-        )
 
 
 class Membership:
@@ -116,7 +44,7 @@
         subset: int,
         heartbeat_s: float,
     ) -> None:
-        self.views_by_name: dict[str, View] = {}
+        self.views_by_name: dict[str, granted_view.View] = {}
         self.peer_offsets_by_name: dict[str, int] = {}
         self.waiting_by_target: dict[str, int] = {}
         self.on_change: list[Any] = []
@@ -205,14 +133,14 @@
         """
         view = self.views_by_name.get(name)
         if view is not None:
-            view.heard_at = NEVER
+            view.heard_at = granted_view.NEVER
 
-    def view(self, upstream: model.Upstream) -> View:
+    def view(self, upstream: model.Upstream) -> granted_view.View:
         """Return the view of an upstream, also outside the subset."""
         found = self.views_by_name.get(upstream.name)
         if found is None:
             tie = rendezvous.score(self._name, upstream.name)
-            found = View(upstream=upstream, tie=tie)
+            found = granted_view.View(upstream=upstream, tie=tie)
             self.views_by_name[upstream.name] = found
         return found
 
@@ -256,7 +184,7 @@
         """Return none, for the same reason."""
         return []
 
-    def note_sent(self, view: View) -> None:
+    def note_sent(self, view: granted_view.View) -> None:
         """Nothing to do, for the same reason."""
 
     async def wake(
@@ -302,12 +230,14 @@
         for name in mine:
             defer.ensureDeferred(self._beat_entry(self._entries[name]))
 
-    def _beat_once(self, view: View, *, heat: bool = False) -> None:
+    def _beat_once(
+        self, view: granted_view.View, *, heat: bool = False
+    ) -> None:
         if view.beating is None:
             view.asked_at = self._clock.monotonic()
             view.beating = defer.ensureDeferred(self._beat(view, heat))
 
-    async def _beat(self, view: View, heat: bool) -> None:
+    async def _beat(self, view: granted_view.View, heat: bool) -> None:
         """Exchange a heartbeat with one agent."""
         asked_at = self._clock.monotonic()
         own = view.own
