--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -12,6 +12,7 @@
 
 from reelscale_core import (
     announcement,
+    backoff,
     clock,
     demand,
     error,
@@ -20,9 +21,12 @@
     settings,
 )
 
+from .. import logs
 from ..exchange import connection, pool
 from ..filters import call
 
+LOG = logs.Part("answers")
+
 
 class Rows(NamedTuple):
     """What a read of the log gave.
@@ -174,6 +178,17 @@
     return RequestsPerSecond(per_s)
 
 
+def read_retry_after(stated: bytes | None) -> float | None:
+    """Return the seconds that a Retry-After states, if it states any."""
+    if stated is None:
+        return None
+    text = stated.decode("latin-1")
+    seconds = backoff.stated_s(text)
+    if seconds is None:
+        LOG.warning("A Retry-After cannot be read.", text=text[:40])
+    return seconds
+
+
 class Answered(NamedTuple):
     """The head of an upstream's answer, in our terms.
 
