--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -79,6 +79,7 @@
         self._links = links
         self.peers = set(peers)
         self._outage_logged = False
+        self._short_log_logged = False
         self._cached_dump = (-1, "")
         self._snapshot_every = snapshot_every
         self._poll_s = poll_s
@@ -247,6 +248,7 @@
         got = await self._platform.read(self.state.offset + 1, wait_s=wait_s)
         self._log_at = self._clock.monotonic()
         self._outage_logged = False
+        self._log_if_short(got.head)
         if got.oldest > self.state.offset + 1:
             await self._jump(got)
             return
@@ -257,6 +259,19 @@
             self.gap = False
         await self._maybe_snapshot(got.oldest)
 
+    def _log_if_short(self, head: int) -> None:
+        """Log once that the log ends below the offset reached here."""
+        is_short = head <= self.state.offset
+        if is_short and not self._short_log_logged:
+            LOG.error(
+                "The log ends below the offset reached; records are passed "
+                "over until it has grown.",
+                offset=self.state.offset,
+                head=head,
+                version=self.state.version,
+            )
+        self._short_log_logged = is_short
+
     async def _jump(self, got: base.Rows) -> None:
         """Skip records that the log has dropped, by a snapshot."""
         rows: list[tuple[int, Any]] = []
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,8 +3,11 @@
 POST /control sets its faults: "down" ("silent", "busy" or "reset"), "slow_s",
 "lose_answers" (appends are done, their answer is lost), "drop" (history of
 every topic goes), "stale" (reads answer as of the records so many ago),
-"lapse" (the entries of these upstreams go, also while it is down) and
-"turned_away" (the share of calls that gets 429).  GET /control counts calls.
+"lapse" (the entries of these upstreams go, also while it is down),
+"turned_away" (the share of calls that gets 429) and "restore" (the store
+comes back from a copy, see Restore).  "era" is the number that all answers
+name and that each restore raises; null for a store that names none.
+GET /control counts calls.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -12,62 +15,45 @@
 
 import base64
 import collections
+import copy
 import json
 import math
 import struct
 import time
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 from twisted.internet import reactor
 from twisted.web import server
 
 from . import web
+from .partition import Partition
 
 RECORD = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 KEYED = "keyed."
 SERVERS = ("keyed.servers", 0)
+OPERATOR = ("keyed.op", 0)
 PAGE = 500
 KEPT_ANSWERS = 5
+# Members of a restored group are taken out unless they renew in this time.
+RENEW_S = 1.5
 
 
-class Partition:
-    """The records of one partition.
+class Restore(NamedTuple):
+    """How the store comes back from a copy.
 
     Attributes:
-      first: Lowest offset that is kept.
-      records: Those from there on.
-      newest: Offset and value by key, for topics with keys.
-      producers: Epoch, last sequence number and answers of each.
+      behind_s: Age of the copy in seconds; what came later is lost.
+      rewrite_s: Seconds until the operator and the workers have written again
+        what they lost; None if they do not.
+      keeps_reads: Whether reads that wait at the store go on waiting, as if
+        the store had not been away.
     """
 
-    def __init__(self) -> None:
-        self.first = 0
-        self.records: list[bytes] = []
-        self.newest: dict[str, tuple[int, bytes]] = {}
-        self.producers: dict[str, tuple[int, int, dict[int, int]]] = {}
-
-    @property
-    def end(self) -> int:
-        """Return the offset that the next record gets."""
-        return self.first + len(self.records)
-
-    def add(self, record: bytes, *, has_key: bool) -> None:
-        """Add a record."""
-        if has_key and record:
-            size = record[0]
-            # What the platform makes of such a key is not on its pages.
-            key = record[1 : 1 + size].decode(errors="replace")
-            value = record[1 + size :]
-            self.newest.pop(key, None)
-            if value:
-                self.newest[key] = (self.end, value)
-        self.records.append(record)
-
-    def drop(self) -> None:
-        """Forget all records; the newest of each key stays."""
-        self.first, self.records = self.end, []
+    behind_s: float
+    rewrite_s: float | None = None
+    keeps_reads: bool = False
 
 
 class Store:
@@ -78,6 +64,9 @@
         self.groups: dict[str, dict[str, float]] = {}
         self.generations: dict[str, int] = {}
         self.committed: dict[tuple[str, str, int], int] = {}
+        # Groups, generations and committed offsets, with their times.
+        self.group_copies: list[tuple[float, tuple[dict, dict, dict]]] = []
+        self.era: int | None = 1
         self.reads: list[tuple[Any, tuple[str, int], int]] = []
         self.calls: collections.Counter[str] = collections.Counter()
         self.down = ""
@@ -91,6 +80,7 @@
         if path == "/control":
             return self.control(request)
         self.calls[path.rsplit("/", 1)[-1]] += 1
+        self.name_era(request)
         request.notifyFinish().addErrback(
             lambda _: setattr(request, "gone", True)
         )
@@ -99,6 +89,11 @@
         reactor.callLater(self.slow_s, self.serve, request, path)
         return server.NOT_DONE_YET
 
+    def name_era(self, request: Any) -> None:
+        """Set the header that names the era of an answer."""
+        if self.era is not None:
+            request.setHeader(b"store-era", str(self.era).encode())
+
     def refuse(self, request: Any) -> Any:
         """Be down, in the way that was set."""
         if self.down == "busy":
@@ -114,17 +109,64 @@
             for part in self.parts.values():
                 part.drop()
         self.lapse_entries(data.pop("lapse", ()))
+        if restore := data.pop("restore", None):
+            self.restore(Restore(**restore))
         for name, value in data.items():
             setattr(self, name, value)
         if self.down:
-            waiting, self.reads = self.reads, []
-            for waiter, _, _ in waiting:
-                if self.down != "silent" and not getattr(
-                    waiter, "gone", False
-                ):
-                    waiter.transport.abortConnection()
+            self.break_reads_off(silently=self.down == "silent")
         return {"calls": dict(self.calls)}
 
+    def break_reads_off(self, *, silently: bool = False) -> None:
+        """Forget the reads that wait, and close their connections."""
+        waiting, self.reads = self.reads, []
+        for request, _, _ in waiting:
+            if not silently and not getattr(request, "gone", False):
+                request.transport.abortConnection()
+
+    def restore(self, how: Restore) -> None:
+        """Come back from a copy, and have what was lost written again."""
+        at = time.monotonic() - how.behind_s
+        lost = {
+            key: self.parts[key].newest_after(at)
+            for key in (OPERATOR, SERVERS)
+            if key in self.parts
+        }
+        for key, part in self.parts.items():
+            has_key = key[0].startswith(KEYED)
+            self.parts[key] = part.as_of(at, has_key=has_key)
+        self.restore_groups(at)
+        if self.era is not None:
+            self.era += 1
+        if not how.keeps_reads:
+            self.break_reads_off()
+        if how.rewrite_s is not None:
+            reactor.callLater(how.rewrite_s, self.write_again, lost)
+
+    def restore_groups(self, at: float) -> None:
+        """Take the groups of a time back; their members have to renew."""
+        found: tuple[dict, dict, dict] = ({}, {}, {})
+        for when, kept in self.group_copies:
+            if when <= at:
+                found = kept
+        self.groups, self.generations, self.committed = copy.deepcopy(found)
+        for group, members in self.groups.items():
+            for name in members:
+                members[name] = time.monotonic() + RENEW_S
+                reactor.callLater(RENEW_S, self.lapse, group, name)
+
+    def copy_groups(self) -> None:
+        """Keep the groups as they are now, for a later restore."""
+        state = (self.groups, self.generations, self.committed)
+        self.group_copies.append((time.monotonic(), copy.deepcopy(state)))
+
+    def write_again(self, lost: dict[tuple[str, int], list[bytes]]) -> None:
+        """Append what the operator and the workers had lost."""
+        for key, records in lost.items():
+            for record in records:
+                self.parts[key].add(record, has_key=True)
+            self.wake(key)
+
     def lapse_entries(self, names: Sequence[str]) -> None:
         """Take the entries of upstreams away, as when they were silent."""
         part = self.parts.get(SERVERS, Partition())
@@ -137,6 +179,7 @@
         """Answer a call of the pages."""
         if getattr(request, "gone", False):
             return
+        self.name_era(request)
         match path.removeprefix("/api/"):
             case "log-append":
                 self.append(request)
@@ -211,7 +254,7 @@
         key, part = self.partition(request)
         at = int(_text(request, "from"))
         wait_s = int(_text(request, "wait_ms") or 0) / 1000
-        if at < part.first:
+        if at < part.first or at > part.end:
             web.finish(request, {"first": part.first}, 410)
             return
         if at < part.end or not wait_s:
@@ -239,7 +282,8 @@
         if getattr(request, "gone", False):
             return
         end = max(part.first, part.end - self.stale)
-        rows = part.records[at - part.first : max(0, end - part.first)]
+        rows = part.between(at, end)
+        self.name_era(request)
         request.setHeader(b"content-type", b"application/octet-stream")
         request.write(ENDS.pack(end, part.first))
         request.write(b"".join(RECORD.pack(len(r)) + r for r in rows))
@@ -278,15 +322,17 @@
             for number in range(24)
             if number % len(members) == mine
         ]
+        self.copy_groups()
         answer = {"generation": self.generation(data), "parts": parts}
         web.finish(request, {**answer, "ttl_ms": data["ttl_ms"]})
 
     def lapse(self, group: str, member: str) -> None:
         """Take a member out that has been silent for its time."""
-        members = self.groups[group]
+        members = self.groups.get(group, {})
         if members.get(member, math.inf) <= time.monotonic():
             del members[member]
             self.generations[group] += 1
+            self.copy_groups()
 
     def generation(self, data: dict[str, Any]) -> int:
         """Return the generation of a group."""
@@ -297,6 +343,7 @@
         data = web.body(request)
         if self.groups.get(data["group"], {}).pop(data["member"], None):
             self.generations[data["group"]] = self.generation(data) + 1
+            self.copy_groups()
         web.finish(request, {})
 
     def commit(self, request: Any) -> None:
