--- a/features/run.py
+++ b/features/run.py
@@ -61,7 +61,9 @@
     for feature in json.loads(path.read_text() or "[]"):
         for item in feature.get("elements", ()):
             if item["type"] != "background":
-                results.append(Result(item["name"], item["status"]))
+                # Names of examples may end in a space.
+                name = item["name"].strip()
+                results.append(Result(name, item["status"]))
     return results
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -75,6 +75,7 @@
         self.config = first_config()
         self._slots = slots
         self._ids = itertools.count(1)
+        self._entry_numbers = itertools.count(1)
         self._usage_port = free_port(socket.SOCK_DGRAM)
         self._store = f"127.0.0.1:{free_port()}"
         self._settings = settings or {}
@@ -250,7 +251,7 @@
             "slots": self._slots,
             "state": "ready",
             "cold_left_ms": 0,
-            "seq": 0,
+            "seq": next(self._entry_numbers),
         }
         self._append("keyed.servers", name, {**data, **fields})
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -254,10 +254,7 @@
         key, part = self.partition(request)
         at = int(_text(request, "from"))
         wait_s = int(_text(request, "wait_ms") or 0) / 1000
-        if at < part.first or at > part.end:
-            web.finish(request, {"first": part.first}, 410)
-            return
-        if at < part.end or not wait_s:
+        if at != part.end or not wait_s:
             self.give(request, part, at)
             return
         row = (request, key, at)
@@ -281,9 +278,12 @@
         """Answer a read with what there is, or was a while ago."""
         if getattr(request, "gone", False):
             return
+        self.name_era(request)
+        if at < part.first or at > part.end:
+            web.finish(request, {"first": part.first}, 410)
+            return
         end = max(part.first, part.end - self.stale)
         rows = part.between(at, end)
-        self.name_era(request)
         request.setHeader(b"content-type", b"application/octet-stream")
         request.write(ENDS.pack(end, part.first))
         request.write(b"".join(RECORD.pack(len(r)) + r for r in rows))
