Order the records of a restored log after all earlier ones

What callers saw: up to three acknowledged versions in a row never came into force; requests were refused with 404 or routed as by the version before.

Cause: an offset was taken for the identity and the order of a record. After the store comes back from an older copy, new versions stand at offsets that were reached before; fold.step passes them over, the read past the end gets 410 and the newest records are read again and again without a pause.

Weighed: dropping the state when a read finds less than before (it would go back to the copy's older version, and does not see a log that has caught up); an incarnation beside the offset in every message and record (the same comparison written twenty times).

Change: the store's client reads the incarnation from every answer, in one place, and rejects answers of an earlier one. The adapter encodes incarnation and offset into one position that orders records across restores; everything inside goes on comparing one integer, also between peers. The version in force is replaced only by a newer one, as before. A read that neither waited nor brought anything is followed by a pause. One line is logged a restore.

The list of upstreams, leases and peers still trust bare offsets and follow one by one.

--- a/features/platform_restore.feature
+++ b/features/platform_restore.feature
@@ -40,3 +40,23 @@
     Then the key "fresh-key" and no other is served for 3.0 s
     And the entry has sent the store no more than 30 reads a second
     And its log says once from which offset the log went back
+
+  Scenario: The store's client takes an answer of an earlier era
+    Given a store of its own
+    When the store names the era "5" and then the era "4"
+    Then neither a read nor an append nor a join takes its answer
+    When the store names the era "6"
+    Then its answers are taken, with era 6
+
+  Scenario Outline: The store's client stumbles over the era "<era>"
+    Given a store of its own
+    When the store names the era "5" and then the era "<era>"
+    Then its answers are taken, with era 5
+
+    Examples:
+      | era                   |
+      | seven                 |
+      | -1                    |
+      | 5.5                   |
+      | 99999999999999999999  |
+      | none                  |
--- a/features/steps/loops_steps.py
+++ b/features/steps/loops_steps.py
@@ -291,7 +291,7 @@
 
 @when("a new version is read")
 def _(context):
-    defer.ensureDeferred(context.made._read())
+    defer.ensureDeferred(context.made._read(0.0))
 
 
 @then("the working listener has received it")
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -186,7 +186,8 @@
 def _(context, first, second):
     made = context.cluster
     made.control(era=first)
-    assert clients.run_on_reactor(context.store.append, "t", 0, [b"a"]) == 0
+    first = clients.run_on_reactor(context.store.append, "t", 0, [b"a"])
+    assert first.offset == 0, first
     made.control(era=None if second == "none" else second)
 
 
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -284,7 +284,9 @@
 def _(context):
     store = context.store
     assert (
-        clients.run_on_reactor(store.append, "t", 0, [b"one", b"two"], at=0)
+        clients.run_on_reactor(
+            store.append, "t", 0, [b"one", b"two"], at=0
+        ).offset
         == 0
     )
     refused = clients.run_on_reactor(store.append, "t", 0, [b"no"], at=0)
@@ -300,7 +302,7 @@
     assert (
         clients.run_on_reactor(
             store.append, "t", 1, [b"a"], producer=("w", 5, 1)
-        )
+        ).offset
         == 0
     )
     refused = clients.run_on_reactor(
@@ -318,7 +320,7 @@
     again = clients.run_on_reactor(
         store.append, "t", 2, [b"a"], producer=("w", 1, 1)
     )
-    assert first == again == 0, (first, again)
+    assert first.offset == again.offset == 0, (first, again)
     assert clients.run_on_reactor(store.read, "t", 2, 0, wait_s=0).end == 1
 
 
--- a/features/steps/silent_store_steps.py
+++ b/features/steps/silent_store_steps.py
@@ -86,7 +86,8 @@
         return await defer.gatherResults(appends)
 
     outcome = clients.run_on_reactor(use_all)
-    assert sorted(outcome) == list(range(count)), outcome
+    offsets = sorted(got.offset for got in outcome)
+    assert offsets == list(range(count)), outcome
     assert context.relay.open == count, context.relay.open
 
 
@@ -107,7 +108,7 @@
 @then("the next append is answered within {seconds:f} s")
 def _(context, seconds):
     outcome, taken_s = _append(context, b"third")
-    assert isinstance(outcome, int), outcome
+    assert isinstance(outcome, stores.Appended), outcome
     assert taken_s < seconds, taken_s
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -31,6 +31,8 @@
 class Rows(NamedTuple):
     """Records read from the log.
 
+    All offsets are positions; see reelscale_core.position.
+
     Attributes:
       rows: (offset, data) pairs in offset order.
       oldest: Lowest needed offset that the log still retains.
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -1,8 +1,9 @@
 """Follows the log and maintains the configuration in force at this process.
 
-The offset of the state never decreases.  While the log is unavailable, the
-state is read from peers, again only at a higher offset.  A process that has
-reached neither since its start is not ready.
+The offset of the state never decreases; it is a position, so that the records
+of a restored log are above all that were read before.  While the log is
+unavailable, the state is read from peers, again only at a higher offset.  A
+process that has reached neither since its start is not ready.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -12,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from reelscale_core import clock, error, fold, snapshot
+from reelscale_core import clock, error, fold, position, snapshot
 from reelscale_core import state as states
 from reelscale_wire import link
 from reelscale_wire.gen import ttypes
@@ -156,9 +157,22 @@
             )
 
     async def _round(self) -> float:
-        """Read the log once; return 0, as the next read follows at once."""
-        await self._read()
+        """Read the log once; return the pause before the next read.
+
+        Reads wait at the log, so the next one follows at once, unless the log
+        answered without waiting and with nothing new: it has not got the
+        records asked for, and would be asked again and again.
+        """
+        # While the log fails, reads do not wait, to detect its recovery soon.
+        may_wait = self.ready and not self._failing
+        before = self.state.offset
+        began_at = self._clock.monotonic()
+        await self._read(self._poll_s() if may_wait else 0.0)
         self._failing = False
+        waited_s = self._clock.monotonic() - began_at
+        is_refused = may_wait and waited_s < RETRY_S
+        if is_refused and self.state.offset <= before:
+            return RETRY_S * (1 + random.random())
         return 0.0
 
     async def _on_down(self, down: error.CodedError) -> float:
@@ -241,10 +255,7 @@
             self._cached_dump = (state.offset, text)
         return self._cached_dump[1]
 
-    async def _read(self) -> None:
-        # While the log fails, reads do not wait, to detect its recovery soon.
-        may_wait = self.ready and not self._failing
-        wait_s = self._poll_s() if may_wait else 0.0
+    async def _read(self, wait_s: float) -> None:
         got = await self._platform.read(self.state.offset + 1, wait_s=wait_s)
         self._log_at = self._clock.monotonic()
         self._outage_logged = False
@@ -302,6 +313,7 @@
         """Apply a state if it is newer."""
         if new.offset <= self.state.offset:
             return
+        self._log_if_restored(new)
         self.state = new
         now = self._clock.monotonic()
         for name, lease in new.leases_by_name.items():
@@ -313,6 +325,22 @@
             if find() is not None and not waiter.called:
                 waiter.callback(None)
 
+    def _log_if_restored(self, new: states.State) -> None:
+        """Log that a state was read from a restored log."""
+        old = position.decode(self.state.offset)
+        now = position.decode(new.offset)
+        if old.offset < 0 or now.incarnation == old.incarnation:
+            return
+        LOG.warning(
+            "The log was restored from a copy; it was read anew, and the "
+            "newest version known stays in force.",
+            incarnation_before=old.incarnation,
+            incarnation=now.incarnation,
+            offset_before=old.offset,
+            offset=now.offset,
+            version=new.version,
+        )
+
     def _notify(
         self, listener: Callable[[states.State], None], new: states.State
     ) -> None:
