Read the list of upstreams anew after a restore, without going back

What callers would see: requests sent to an upstream that has announced that it leaves, or that has left (DRAIN), and 503 for a second or two where the copy does not list the upstreams yet.

Cause: the list was read on from an offset. Where the restored list ended below it, the complete copy was taken for the newest list; where it had caught up, the records in between were never read, without any sign.

Ruled out: keeping "leaving" for good, as an upstream's state may change in any way the platform likes; comparing the number of every announcement, as one record of another writer with a high number would then hide the upstream's own.

Change: the list uses positions, as the configuration does, and is read whole after a restore. In complete lists, and for 10 s after a restore or a start, an announcement with a lower number than one applied of the same start is left out; one that was withdrawn is not listed again by the same number. Upstreams that the copy lacks are kept for the 2 s in which they announce themselves. Peers send the numbers, too.

--- a/features/platform_restore.feature
+++ b/features/platform_restore.feature
@@ -40,6 +40,37 @@
     Then the key "fresh-key" and no other is served for 3.0 s
     And the entry has sent the store no more than 30 reads a second
     And its log says once from which offset the log went back
+    And its log has no error
+
+  Scenario: A suspended entry misses what was written below its offset
+    Given a fleet of its own
+    When the store is copied
+    And the workers announce themselves 3 more times
+    And entry "f1" is suspended
+    And the store comes back from that copy
+    And worker "w3" is leaving
+    And the workers but "w3" announce themselves 9 more times
+    And entry "f1" is resumed
+    Then requests to "/push/x" run at "w4" alone within 2 s
+
+  Scenario Outline: An upstream that has <how> gets requests again by the copy
+    Given a fleet of its own
+    When the store is copied
+    And the workers announce themselves 3 more times
+    And worker "w3" is <change>
+    Then requests to "/push/x" run at "w4" alone within 2 s
+    When the store comes back from that copy
+    Then requests to "/push/x" run at "w4" alone for 2.5 s
+
+    Examples:
+      | how     | change    |
+      | said so | leaving   |
+      | left    | withdrawn |
+
+  Scenario: Upstreams that the copy does not list yet are dropped
+    Given a fleet of its own
+    When the store comes back empty and is written again after 1.2 s
+    Then every request to "/push/x" is served for 3.0 s
 
   Scenario: The store's client takes an answer of an earlier era
     Given a store of its own
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -79,6 +79,13 @@
     assert row["version"] == context.cluster.config["version"], row
 
 
+@then("its log has no error")
+def _(context):
+    rows = context.cluster.log_lines("f1")
+    errors = [row for row in rows if row["level"] == "ERROR"]
+    assert errors == [], errors
+
+
 @then('the key "{key}" and no other is served for {seconds:f} s')
 def _(context, key, seconds):
     made = context.cluster
--- a/packages/reelscale-core/src/reelscale_core/announcement.py
+++ b/packages/reelscale-core/src/reelscale_core/announcement.py
@@ -49,6 +49,8 @@
       leaving: Whether it is stopping and accepts no new requests.
       cold_s: Remaining seconds of its warm-up.
       born_ms: Unix time of its start in milliseconds, if stated.
+      sequence: Number of the announcement, which rises within a start; None
+        if not stated.
     """
 
     name: str
@@ -59,6 +61,7 @@
     leaving: bool = False
     cold_s: float = 0.0
     born_ms: int | None = None
+    sequence: int | None = None
 
     @property
     def start(self) -> Start:
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -61,7 +61,7 @@
 
     Attributes:
       items: Changes, in order.
-      next_offset: Offset of the next page.
+      next_offset: Position of the next page; see reelscale_core.position.
       complete: Whether items are the complete list, so that upstreams not in
         it were removed.
     """
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -15,6 +15,8 @@
     announcement,
     clock,
     error,
+    latest,
+    position,
     rendezvous,
     starts,
 )
@@ -42,9 +44,11 @@
 # How long a peer has to be ahead in the list before it is queried, in seconds;
 # entries read the same record within some 0.05 s.
 PEER_LEAD_TIMEOUT_S = 0.3
-# How long an unlisted upstream is kept after an outage of the store, in
-# seconds: it may be listed again with its next heartbeat.
+# How long an unlisted upstream is kept after an outage or a restore of the
+# store, in seconds: it may be listed again with its next heartbeat.
 RELIST_GRACE_S = 2.0
+# How long after a restore lost announcements may be written again, in seconds.
+REWRITE_S = 10.0
 
 
 class Directory(upstreams.Upstreams):
@@ -85,11 +89,14 @@
         self._watches = watches
         self._name = name
         self._starts = starts.Starts()
+        self._latest = latest.Latest()
         self._unusable = unusable.UnusableAnnouncements(metrics=metrics)
         self._next = 0
         self._update_offset = 0
         self._has_updates = False
         self._recovered_at = float("-inf")
+        # Before the start of this process the store may have been restored.
+        self._restored_at = clock.monotonic()
         self._down = False
         self._stopped = False
         self._follower = follower.Follower(
@@ -172,8 +179,8 @@
         LOG.info(
             "Applied the list of a peer.",
             peer=page.peer,
-            offset=page.next_offset,
-            have=self.offset,
+            **position.decode(page.next_offset)._asdict(),
+            have=position.decode(self.offset).offset,
             upstreams=len(page.items),
         )
         complete = base.RosterPage(page.items, page.next_offset, complete=True)
@@ -192,11 +199,12 @@
 
     def _apply_page(self, page: base.RosterPage) -> None:
         """Apply changes of the list, or a complete list."""
+        self._note_restore(page.next_offset)
         self._next = page.next_offset
         self._starts.record_listed(page.items)
         if page.complete:
             self._withdraw_unlisted(page)
-        for item in page.items:
+        for item in self._without_outdated(page):
             self._apply_safely(item)
         for item in self._starts.promote_due(self._clock.monotonic()):
             self._update_view(item)
@@ -205,12 +213,46 @@
         self.ready = True
         self.notify_change()
 
+    def _without_outdated(
+        self, page: base.RosterPage
+    ) -> list[announcement.Item]:
+        """Return the items that are not older than what is known.
+
+        A complete list may be of a restored store, or of a peer that read one,
+        and lost records may be written again after newer ones.
+        """
+        items = page.items
+        if page.complete:
+            items = [i for i in items if not self._latest.is_withdrawn(i)]
+        since_s = self._clock.monotonic() - self._restored_at
+        if page.complete or since_s < REWRITE_S:
+            items = [i for i in items if not self._latest.is_outdated(i)]
+        return items
+
+    def _note_restore(self, next_offset: int) -> None:
+        """Grant upstreams time to be listed again if the list was restored.
+
+        The copy lacks those that were announced after it was made.
+        """
+        old, new = position.decode(self._next), position.decode(next_offset)
+        if not self.ready or new.incarnation == old.incarnation:
+            return
+        self._recovered_at = self._restored_at = self._clock.monotonic()
+        LOG.warning(
+            "The list was restored from a copy; it was read anew.",
+            incarnation_before=old.incarnation,
+            incarnation=new.incarnation,
+            offset_before=old.offset,
+            offset=new.offset,
+            upstreams=len(self.views_by_name),
+        )
+
     def _withdraw_unlisted(self, page: base.RosterPage) -> None:
         """Withdraw upstreams that are missing from a complete list."""
         listed = {item.name for item in page.items}
         self._starts.retain(listed)
         for name in set(self.views_by_name) - listed:
-            self._apply(announcement.Withdrawn(name))
+            self._remove(name)
 
     def _apply_safely(self, item: announcement.Item) -> None:
         """Apply an item; an error must not affect the items after it."""
@@ -228,16 +270,22 @@
             case announcement.Announcement():
                 self._apply_announcement(item)
             case announcement.Withdrawn(name=name):
-                self._unusable.forget(name)
-                self._starts.forget(name)
-                self._withdraw(name)
+                self._latest.withdraw(name)
+                self._remove(name)
             case announcement.Unusable():
                 self._mark_unusable(item)
 
+    def _remove(self, name: str) -> None:
+        """Remove an upstream that is no longer announced."""
+        self._unusable.forget(name)
+        self._starts.forget(name)
+        self._withdraw(name)
+
     def _apply_announcement(self, item: announcement.Announcement) -> None:
         """Apply an announcement if it is of the upstream's current start."""
         match self._starts.classify(item, self._clock.monotonic()):
             case starts.Verdict.CURRENT:
+                self._latest.record(item)
                 self._unusable.forget(item.name)
                 self._update_view(item)
             case starts.Verdict.UNDATED:
@@ -344,4 +392,9 @@
     known: announcement.Announcement, item: announcement.Announcement
 ) -> bool:
     """Return whether an announcement is more than a heartbeat."""
-    return known._replace(cold_s=0.0) != item._replace(cold_s=0.0)
+    return _lasting(known) != _lasting(item)
+
+
+def _lasting(item: announcement.Announcement) -> announcement.Announcement:
+    """Return an announcement without what changes with every heartbeat."""
+    return item._replace(cold_s=0.0, sequence=None)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/peer_lists.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/peer_lists.py
@@ -118,6 +118,7 @@
             slots=item.slots,
             leaving=item.leaving,
             born_ms=item.born_ms,
+            sequence=item.sequence,
         )
         for item in listed
     ]
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -234,6 +234,7 @@
   5: i32 slots,
   6: bool leaving,
   7: optional i64 born_ms,  // Unix time of its start, if it told.
+  8: optional i64 sequence, // Number of the announcement within the start.
 }
 
 struct RosterReply {
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -2855,11 +2855,12 @@
      - slots
      - leaving
      - born_ms
+     - sequence
 
     """
 
 
-    def __init__(self, name=None, target=None, address=None, hall=None, slots=None, leaving=None, born_ms=None,):
+    def __init__(self, name=None, target=None, address=None, hall=None, slots=None, leaving=None, born_ms=None, sequence=None,):
         self.name = name
         self.target = target
         self.address = address
@@ -2867,6 +2868,7 @@
         self.slots = slots
         self.leaving = leaving
         self.born_ms = born_ms
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2912,6 +2914,11 @@
                     self.born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2950,6 +2957,10 @@
             oprot.writeFieldBegin('born_ms', TType.I64, 7)
             oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 8)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3467,6 +3478,7 @@
     (5, TType.I32, 'slots', None, None, ),  # 5
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'born_ms', None, None, ),  # 7
+    (8, TType.I64, 'sequence', None, None, ),  # 8
 )
 all_structs.append(RosterReply)
 RosterReply.thrift_spec = (
