--- a/features/platform_restore.feature
+++ b/features/platform_restore.feature
@@ -72,6 +72,22 @@
     When the store comes back empty and is written again after 1.2 s
     Then every request to "/push/x" is served for 3.0 s
 
+  Scenario: A fence drawn after a restore is below an earlier one
+    Given a store of its own
+    When the store is copied
+    And two holders of a lease draw 3 fences each
+    And the store comes back from that copy
+    Then the next fence of each holder is above all before
+
+  Scenario: A group's layout cannot change after the restore
+    Given a group of ranks with agents
+    When an agent holds the lease permanently
+    And other holders have drawn 100 fences for the group
+    And the store comes back empty and is written again after 0.5 s
+    And the holder is killed and demand shifts to other experts
+    Then its skew falls below 1.4 within 30 s
+    And no step of the group began on two layouts
+
   Scenario: The store's client takes an answer of an earlier era
     Given a store of its own
     When the store names the era "5" and then the era "4"
