Pull a configuration from a peer that has a newer version

What callers would see: an entry that starts on a restored store serves the copy's older version, while its peers serve the one that was acknowledged, until the operator has written again.

Cause: peers compared offsets alone. After a restore all entries read to the same position, but only those from before it know the newest version.

Change: entries send the version beside the offset, and pull a state with a higher version, too. Positions order what was read; versions order configurations: of two states the one that has read further is kept, with the newer configuration of the two (fold.merge).

Measured: "An entry that starts on the copy serves an older version than its peer" failed once positions were compared (10 s) and passes.

--- a/features/platform_restore.feature
+++ b/features/platform_restore.feature
@@ -42,6 +42,16 @@
     And its log says once from which offset the log went back
     And its log has no error
 
+  Scenario: An entry that starts on the copy serves an older version than its peer
+    Given a fleet of its own with 2 entries
+    When the store is copied
+    And the operator states 3 more versions
+    And the operator replaces the keys by "fresh-key"
+    Then the key "fresh-key" is served within 2 s
+    When the store comes back from that copy
+    And entry "f2" is killed and started again
+    Then the started entry "f2" serves "fresh-key" within 10 s
+
   Scenario: A suspended entry misses what was written below its offset
     Given a fleet of its own
     When the store is copied
--- a/packages/reelscale-core/src/reelscale_core/fold.py
+++ b/packages/reelscale-core/src/reelscale_core/fold.py
@@ -103,6 +103,24 @@
             return state
 
 
+def merge(own: State, other: State) -> State:
+    """Return the newer of two states, with the newest full configuration.
+
+    Positions order what was read of the log and versions order configurations:
+    after a restore, the state that has read further may have the older one.
+    """
+    newer, older = (other, own) if other.offset > own.offset else (own, other)
+    if older.version <= newer.version:
+        return newer
+    return newer._replace(
+        version=older.version,
+        workspaces_by_name=older.workspaces_by_name,
+        services_by_name=older.services_by_name,
+        routes_by_name=older.routes_by_name,
+        limits=older.limits,
+    )
+
+
 def _replace_config(state: State, item: record.FullConfigRecord) -> State:
     """Replace the configuration, unless the current one is newer."""
     if item.version <= state.version:
--- a/packages/reelscale-daemon/src/reelscale_daemon/agent.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/agent.py
@@ -171,7 +171,7 @@
     def state(self, request: ttypes.StateRequest) -> defer.Deferred:
         """Give the configuration to a peer that cannot reach the log."""
         return defer.ensureDeferred(
-            self._base.config.answer(request.have_offset)
+            self._base.config.answer(request.have_offset, request.have_version)
         )
 
     async def _submit(self, request: ttypes.Submit) -> ttypes.Verdict:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -221,25 +221,45 @@
             self._waiters.remove(pair)
         return find()
 
-    def record_peer_offset(self, peer: str, offset: int) -> None:
-        """Record a peer's offset; pull its state if the log falls behind."""
-        if offset <= self.state.offset:
+    def record_peer_offset(
+        self, peer: str, offset: int, version: int = 0
+    ) -> None:
+        """Record what a peer has; pull its state if the log falls behind.
+
+        Args:
+          peer: Address of the peer.
+          offset: Offset of its state.
+          version: Version of its full configuration, 0 without one.
+        """
+        if not self._is_behind(offset, version):
             return
         if self.log_age_s() > LOG_TIMEOUT_S:
-            self._pull_if_behind(peer, offset)
+            self._pull_if_behind(peer, offset, version)
         elif self._peer_lead_s is not None:
             self._reactor.callLater(
-                self._peer_lead_s, self._pull_if_behind, peer, offset
+                self._peer_lead_s, self._pull_if_behind, peer, offset, version
             )
 
-    def _pull_if_behind(self, peer: str, offset: int) -> None:
-        if offset > self.state.offset and not self._pulling:
+    def _is_behind(self, offset: int, version: int) -> bool:
+        """Return whether a peer has a newer state or configuration."""
+        return offset > self.state.offset or version > self.state.version
+
+    def _pull_if_behind(self, peer: str, offset: int, version: int) -> None:
+        if self._is_behind(offset, version) and not self._pulling:
             defer.ensureDeferred(self._pull(peer))
 
-    async def answer(self, have_offset: int) -> ttypes.StateReply:
-        """Answer a peer's request for the state."""
+    async def answer(
+        self, have_offset: int, have_version: int | None
+    ) -> ttypes.StateReply:
+        """Answer a peer's request for the state.
+
+        Args:
+          have_offset: Offset of the peer's state.
+          have_version: Version of its full configuration, if it has versions.
+        """
         state = self.state
-        if have_offset >= state.offset:
+        is_newer = state.version > (have_version or 0)
+        if have_offset >= state.offset and not is_newer:
             return ttypes.StateReply(offset=state.offset, digest="", state=b"")
         text = await self._dump(state)
         return ttypes.StateReply(
@@ -312,7 +332,7 @@
 
     def _apply(self, new: states.State) -> None:
         """Apply a state if it is newer."""
-        if new.offset <= self.state.offset:
+        if not self._is_behind(new.offset, new.version):
             return
         self._log_if_restored(new)
         self.state = new
@@ -414,7 +434,10 @@
         try:
             reply = await self._links.to(peer).call(
                 "state",
-                ttypes.StateRequest(have_offset=self.state.offset),
+                ttypes.StateRequest(
+                    have_offset=self.state.offset,
+                    have_version=self.state.version,
+                ),
                 timeout_s=PEER_TIMEOUT_S,
             )
         except link.LinkError:
@@ -433,7 +456,8 @@
             LOG.error("Digest mismatch in the state of a peer.", peer=peer)
             return False
         loading = states.load_slices(text)
-        self._apply(await slices.run(self._reactor, loading))
+        loaded = await slices.run(self._reactor, loading)
+        self._apply(fold.merge(self.state, loaded))
         LOG.info(
             "Adopted the state of a peer.",
             peer=peer,
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -49,6 +49,7 @@
 
 # Called with an entry's address for calls and its reported offset.
 OffsetListener = Callable[[str, int], None]
+ConfigurationListener = Callable[[str, int, int], None]
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -91,7 +92,8 @@
       updates: Sources of further data in the datagrams.
       on_removed: Called with the name of an entry that timed out.
       entries: The entries that share the rate limits of upstreams.
-      on_offset: Called with the configuration offset of another entry.
+      on_configuration: Called with another entry's configuration offset and
+        version.
       on_roster_offset: Called with another entry's offset in the list of
         upstreams.
       on_change: Called after the counts of others have changed.
@@ -112,6 +114,7 @@
         peer: str,
         offset: Callable[[], int],
         roster_offset: Callable[[], int],
+        version: Callable[[], int] = lambda: 0,
     ) -> None:
         """Initialize without peers; start() opens the socket.
 
@@ -127,8 +130,10 @@
           offset: Returns the offset of the configuration in force here.
           roster_offset: Returns the offset from which this entry continues
             to read the list of upstreams, 0 while it has none.
+          version: Returns the version of the configuration in force here, 0
+            where configurations have none.
         """
-        self.on_offset: OffsetListener = _ignore
+        self.on_configuration: ConfigurationListener = _ignore
         self.on_roster_offset: OffsetListener = _ignore
         self.on_change: Callable[[], None] = lambda: None
         self.on_removed: Callable[[str], None] = _ignore_name
@@ -146,6 +151,7 @@
         self._peer = peer
         self._offset = offset
         self._roster_offset = roster_offset
+        self._version = version
         self._peers: dict[str, Peer] = {}
         self._received_at_by_name: dict[str, float] = {}
         self.entries = rate_limit.Entries(name, frozenset((name,)), 1)
@@ -223,7 +229,9 @@
         self._update_entries()
         for item in self.updates:
             item.apply(message)
-        self.on_offset(message.peer, message.offset)
+        # Entries of an earlier release send no version.
+        version = message.version or 0
+        self.on_configuration(message.peer, message.offset, version)
         self.on_roster_offset(message.peer, message.roster_offset)
         self._greet(message.known)
         self._sum_up()
@@ -266,6 +274,7 @@
             offset=self._offset(),
             peer=self._peer,
             roster_offset=self._roster_offset(),
+            version=self._version(),
         )
 
     def _hosts_to_send(self) -> list[str]:
@@ -322,8 +331,8 @@
         self.on_change()
 
 
-def _ignore(_peer: str, _offset: int) -> None:
-    """Ignore an offset until a listener is set."""
+def _ignore(_peer: str, *_numbers: int) -> None:
+    """Ignore what an entry has until a listener is set."""
 
 
 def _ignore_name(_name: str) -> None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/entry.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/entry.py
@@ -125,7 +125,7 @@
     def state(self, request: ttypes.StateRequest) -> defer.Deferred:
         """Give the configuration to a peer that cannot reach the log."""
         return defer.ensureDeferred(
-            self._base.config.answer(request.have_offset)
+            self._base.config.answer(request.have_offset, request.have_version)
         )
 
     def _root(self) -> resource.Resource:
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -161,6 +161,7 @@
             counts=lambda: self._directory.counts(),
             peer=own.peer,
             offset=lambda: self._base.config.state.offset,
+            version=lambda: self._base.config.state.version,
             roster_offset=lambda: self._directory.update_offset,
         )
 
@@ -189,7 +190,7 @@
         self._usage.on_change = self._parts.pump
         self._usage.on_removed = self._suspects.forget
         self._usage.updates = (self._directory.rate_limits, self._suspects)
-        self._usage.on_offset = self._base.config.record_peer_offset
+        self._usage.on_configuration = self._base.config.record_peer_offset
         self._usage.on_roster_offset = self._directory.on_peer_offset
 
     async def start(self) -> None:
@@ -253,7 +254,7 @@
     def state(self, request: ttypes.StateRequest) -> defer.Deferred:
         """Give the configuration to a peer that cannot reach the log."""
         return defer.ensureDeferred(
-            self._base.config.answer(request.have_offset)
+            self._base.config.answer(request.have_offset, request.have_version)
         )
 
     def roster(self, query: ttypes.RosterQuery) -> ttypes.RosterReply:
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -101,7 +101,10 @@
   16: string peer,
 }
 
-struct StateRequest { 1: i64 have_offset }
+struct StateRequest {
+  1: i64 have_offset,      // Position of the asker's configuration.
+  2: optional i64 have_version,  // Its version, if it has versions.
+}
 
 struct StateReply {
   1: i64 offset,
@@ -183,6 +186,7 @@
   8: i64 roster_offset,    // Where the sender reads the list on.
   9: optional list<RateLimit> limits,
   10: optional list<Suspect> suspects,
+  11: optional i64 version,  // Of the configuration in force at the sender.
 }
 
 // What the agent of a rank is asked for; see core/rank.py.
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -1212,12 +1212,14 @@
     """
     Attributes:
      - have_offset
+     - have_version
 
     """
 
 
-    def __init__(self, have_offset=None,):
+    def __init__(self, have_offset=None, have_version=None,):
         self.have_offset = have_offset
+        self.have_version = have_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1233,6 +1235,11 @@
                     self.have_offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.have_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1247,6 +1254,10 @@
             oprot.writeFieldBegin('have_offset', TType.I64, 1)
             oprot.writeI64(self.have_offset)
             oprot.writeFieldEnd()
+        if self.have_version is not None:
+            oprot.writeFieldBegin('have_version', TType.I64, 2)
+            oprot.writeI64(self.have_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2122,11 +2133,12 @@
      - roster_offset
      - limits
      - suspects
+     - version
 
     """
 
 
-    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None, offset=None, peer=None, roster_offset=None, limits=None, suspects=None,):
+    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None, offset=None, peer=None, roster_offset=None, limits=None, suspects=None, version=None,):
         self.name = name
         self.incarnation = incarnation
         self.number = number
@@ -2137,6 +2149,7 @@
         self.roster_offset = roster_offset
         self.limits = limits
         self.suspects = suspects
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2220,6 +2233,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2283,6 +2301,10 @@
                 iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 11)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3333,6 +3355,7 @@
 StateRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'have_offset', None, None, ),  # 1
+    (2, TType.I64, 'have_version', None, None, ),  # 2
 )
 all_structs.append(StateReply)
 StateReply.thrift_spec = (
@@ -3420,6 +3443,7 @@
     (8, TType.I64, 'roster_offset', None, None, ),  # 8
     (9, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 9
     (10, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 10
+    (11, TType.I64, 'version', None, None, ),  # 11
 )
 all_structs.append(RankQuery)
 RankQuery.thrift_spec = (
