Replay generated restores, cuts and restarts over three entries

Guards against entries that go back to an older version, pass a new one over, use an upstream again that they know to be leaving, or read without a pause. The real controllers of three entries run over a store in one process that is restored from copies 0.5 to 5 s old, with what was lost written again at once, late or never, beside outages, cuts, isolation and restarts.

--- a/features/replay.feature
+++ b/features/replay.feature
@@ -17,6 +17,10 @@
       | Not-run means not run, and answers are one's own   | exchange  |
       | All readers of the log fold the same, none reverts | configlog |
 
+  Scenario: Entries follow a store through restores, cuts and restarts
+    When 60 generated traces and 100 seeded ones of the restores model run
+    Then no trace violates the invariant
+
   Scenario Outline: The <model> model finds a fault <rules>
     When the recorded trace of the <model> model <rules> is replayed
     Then it violates the invariant
@@ -37,6 +41,7 @@
       | exchange | without tombstones                           |
       | exchange | without checking the incarnation             |
       | exchange | without sequence numbers                     |
+      | restores | without the incarnation                      |
 
   Scenario Outline: A group converges to its target layout once faults cease
     When 200 seeded traces of the <model> model run and faults cease
