Soak entries on a store that is restored again and again

Three entries run as processes on the stand-in store. Restores with and without an outage, up to three in one, beside changed versions, an upstream that leaves and starts again, suspensions and restarts of entries. Each version has a key of its own, so a probe tells what is in force: no entry may go back, be late with a version 3 s after the last fault, or use an upstream that it knows to be leaving. One seed runs for 8 s in platform_restore.feature, the long run by hand (make soak-restore).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*) platform
 
-.PHONY: setup demo test test-processes lint bench soak generate
+.PHONY: setup demo test test-processes lint bench soak soak-restore generate
 
 setup: $(STAMP)
 
@@ -33,6 +33,9 @@
 soak: setup
 	$(BIN)/python -m standins.soak --minutes $(or $(MINUTES),2) --seed $(or $(SEED),1)
 
+soak-restore: setup
+	$(BIN)/python -m standins.soak_restore --seeds $(or $(SEEDS),5) --seed $(or $(SEED),1)
+
 # Needs the thrift compiler; its output is committed.
 generate:
 	cd packages/reelscale-wire && thrift -r --gen py:twisted -out src reelscale.thrift
--- a/features/models/restores.py
+++ b/features/models/restores.py
@@ -22,6 +22,7 @@
 from reelscale_wire import link
 from twisted.internet import defer, task
 
+from features import platform_directory
 from standins import partition
 from standins import store as standin
 
@@ -73,9 +74,8 @@
         self.reads = 0
         self._reactor = reactor
 
-    def write(self, topic: str, key: str, data: Any) -> None:
-        """Append a record with a key; no data drops the key."""
-        value = None if data is None else json.dumps(data).encode()
+    def write(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record with a key."""
         self.add(topic, standin.keyed(key, value))
 
     def add(self, topic: str, record: bytes) -> None:
@@ -271,7 +271,8 @@
             return
         self.version += 3
         data = {"version": self.version, "routes": [], "services": []}
-        self.log.write(sources.TOPIC, sources.KEY, data)
+        value = json.dumps(data).encode()
+        self.log.write(sources.TOPIC, sources.KEY, value)
 
     def restore(self, chooser: Chooser) -> None:
         """Restore the store, in an outage if there is one."""
@@ -305,17 +306,12 @@
     def announce(self, upstream: str) -> None:
         """Write an upstream's announcement."""
         self.sequence += 1
-        data = {
-            "service": "push",
-            "addr": f"10.0.0.{1 + UPSTREAMS.index(upstream)}:80",
-            "zone": "a",
-            "version": "v1",
-            "slots": 6,
-            "state": "draining" if upstream in self.leaving else "ready",
-            "cold_left_ms": 0,
-            "seq": self.sequence,
-        }
-        self.log.write(roster.TOPIC, upstream, data)
+        entry = platform_directory.entry(
+            addr=f"10.0.0.{1 + UPSTREAMS.index(upstream)}:80",
+            state="draining" if upstream in self.leaving else "ready",
+            seq=self.sequence,
+        )
+        self.log.write(roster.TOPIC, upstream, entry)
 
     def heartbeats(self) -> None:
         """Have all upstreams announce themselves, now and ever again."""
--- a/features/platform_restore.feature
+++ b/features/platform_restore.feature
@@ -98,6 +98,10 @@
     Then its skew falls below 1.4 within 30 s
     And no step of the group began on two layouts
 
+  Scenario: Entries go back or are late through restores and restarts
+    When a seeded soak of restores runs for 8 s
+    Then it has kept all rules
+
   Scenario: The store's client takes an answer of an earlier era
     Given a store of its own
     When the store names the era "5" and then the era "4"
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -10,10 +10,11 @@
 from reelscale_platform import lease
 
 from features import platform_clients as clients
-from standins import fleet, process
+from standins import fleet, process, soak_restore
 
 # Age of a copy, in seconds, that is from before everything in a scenario.
 EMPTY_S = 3600.0
+SOAK_SEED = 7
 # Copies are told apart from what follows by its time, in seconds.
 COPY_GAP_S = 0.1
 
@@ -189,6 +190,16 @@
     made.processes[context.holder_name].start()
 
 
+@when("a seeded soak of restores runs for {seconds:d} s")
+def _(context, seconds):
+    context.broken = soak_restore.run(SOAK_SEED, seconds)
+
+
+@then("it has kept all rules")
+def _(context):
+    assert context.broken == [], context.broken
+
+
 @when('the store names the era "{first}" and then the era "{second}"')
 def _(context, first, second):
     made = context.cluster
