Split the groups out of the stand-in store; make usage in one place

Debts: standins/store.py had grown to 402 lines with the groups and their copies; the usage of an entry without peers was made by hand in four tests.

Change: standins/groups.py has the groups; platform_directory.make_usage is used by all four. No check has changed.

--- a/features/models/restores.py
+++ b/features/models/restores.py
@@ -15,7 +15,7 @@
 from reelscale_core import clock, error
 from reelscale_daemon import metrics
 from reelscale_daemon.controllers import config as configs
-from reelscale_daemon.controllers import directory, peer_lists, usage
+from reelscale_daemon.controllers import directory, peer_lists
 from reelscale_platform import config as sources
 from reelscale_platform import roster
 from reelscale_platform import store as stores
@@ -381,24 +381,12 @@
     world: World, entry: Entry, links: Links, peers: tuple[str, ...]
 ) -> directory.Directory:
     """Return the list of upstreams of an entry."""
-    counts = usage.Usage(
-        reactor=world.reactor,
-        clock=world.clock,
-        name=entry.name,
-        incarnation="i",
-        address="127.0.0.1:9",
-        peers=(),
-        counts=dict,
-        peer="127.0.0.1:8",
-        offset=lambda: 0,
-        roster_offset=lambda: 0,
-    )
     return directory.Directory(
         reactor=world.reactor,
         clock=world.clock,
         roster=roster.Roster(store=entry.view),
         connections=types.SimpleNamespace(close_idle=lambda _: None),
-        usage=counts,
+        usage=platform_directory.make_usage(world.reactor, world.clock),
         lists=peer_lists.PeerLists(links=links, peers=lambda: peers),
         links=None,
         agent_port=0,
--- a/features/platform_directory.py
+++ b/features/platform_directory.py
@@ -77,18 +77,7 @@
         self.reactor, self.clock = task.Clock(), clock.FakeClock()
         self.store, self.connections = Store(), Connections()
         self.metrics = metrics.Metrics()
-        self.usage = usage.Usage(
-            reactor=self.reactor,
-            clock=self.clock,
-            name="f1",
-            incarnation="i1",
-            address="127.0.0.1:9",
-            peers=(),
-            counts=dict,
-            peer="127.0.0.1:8",
-            offset=lambda: 0,
-            roster_offset=lambda: 0,
-        )
+        self.usage = make_usage(self.reactor, self.clock)
         self.directory = directory.Directory(
             reactor=self.reactor,
             clock=self.clock,
@@ -125,6 +114,22 @@
         return {v.upstream.name for v in views if v.serves("push")}
 
 
+def make_usage(reactor, clocks, *, counts=dict):
+    """Return the usage of an entry that exchanges none."""
+    return usage.Usage(
+        reactor=reactor,
+        clock=clocks,
+        name="f1",
+        incarnation="i1",
+        address="127.0.0.1:9",
+        peers=(),
+        counts=counts,
+        peer="127.0.0.1:8",
+        offset=lambda: 0,
+        roster_offset=lambda: 0,
+    )
+
+
 async def _nothing():
     """Return None: the peer has no list."""
     return None
--- a/features/steps/loops_steps.py
+++ b/features/steps/loops_steps.py
@@ -165,17 +165,8 @@
 
 def _usage(context):
     context.work = Work(dict)
-    made = usage.Usage(
-        reactor=context.reactor,
-        clock=context.clock,
-        name="f1",
-        incarnation="i",
-        address="127.0.0.1:9",
-        peers=(),
-        counts=context.work.once,
-        peer="127.0.0.1:8",
-        offset=lambda: 0,
-        roster_offset=lambda: 0,
+    made = platform_directory.make_usage(
+        context.reactor, context.clock, counts=context.work.once
     )
     made._loop.start(usage.SEND_INTERVAL_S)
     return made.progress
--- a/features/steps/suspension_beliefs_steps.py
+++ b/features/steps/suspension_beliefs_steps.py
@@ -19,7 +19,7 @@
 from reelscale_daemon.filters import context as contexts
 from twisted.internet import task
 
-from features import machine_clocks
+from features import machine_clocks, platform_directory
 from features.models import suspects as suspects_model
 
 # Each of these sets up state and returns a predicate: whether it is in effect.
@@ -37,18 +37,7 @@
 
 
 def _peer(clocks):
-    controller = usage.Usage(
-        reactor=task.Clock(),
-        clock=clocks,
-        name="f1",
-        incarnation="i",
-        address="127.0.0.1:9",
-        peers=(),
-        counts=dict,
-        peer="127.0.0.1:8",
-        offset=lambda: 0,
-        roster_offset=lambda: 0,
-    )
+    controller = platform_directory.make_usage(task.Clock(), clocks)
     controller._peers["f2"] = usage.Peer(
         name="f2",
         incarnation="i",
--- a/standins/store.py
+++ b/standins/store.py
@@ -15,9 +15,7 @@
 
 import base64
 import collections
-import copy
 import json
-import math
 import struct
 import time
 from collections.abc import Sequence
@@ -27,6 +25,7 @@
 from twisted.web import server
 
 from . import web
+from .groups import Groups
 from .partition import Partition
 
 RECORD = struct.Struct(">I")
@@ -36,8 +35,6 @@
 OPERATOR = ("keyed.op", 0)
 PAGE = 500
 KEPT_ANSWERS = 5
-# Members of a restored group are taken out unless they renew in this time.
-RENEW_S = 1.5
 
 
 class Restore(NamedTuple):
@@ -61,11 +58,7 @@
 
     def __init__(self) -> None:
         self.parts: dict[tuple[str, int], Partition] = {}
-        self.groups: dict[str, dict[str, float]] = {}
-        self.generations: dict[str, int] = {}
-        self.committed: dict[tuple[str, str, int], int] = {}
-        # Groups, generations and committed offsets, with their times.
-        self.group_copies: list[tuple[float, tuple[dict, dict, dict]]] = []
+        self.groups = Groups()
         self.era: int | None = 1
         self.reads: list[tuple[Any, tuple[str, int], int]] = []
         self.calls: collections.Counter[str] = collections.Counter()
@@ -135,7 +128,7 @@
         for key, part in self.parts.items():
             has_key = key[0].startswith(KEYED)
             self.parts[key] = part.as_of(at, has_key=has_key)
-        self.restore_groups(at)
+        self.groups.restore(at)
         if self.era is not None:
             self.era += 1
         if not how.keeps_reads:
@@ -143,23 +136,6 @@
         if how.rewrite_s is not None:
             reactor.callLater(how.rewrite_s, self.write_again, lost)
 
-    def restore_groups(self, at: float) -> None:
-        """Take the groups of a time back; their members have to renew."""
-        found: tuple[dict, dict, dict] = ({}, {}, {})
-        for when, kept in self.group_copies:
-            if when <= at:
-                found = kept
-        self.groups, self.generations, self.committed = copy.deepcopy(found)
-        for group, members in self.groups.items():
-            for name in members:
-                members[name] = time.monotonic() + RENEW_S
-                reactor.callLater(RENEW_S, self.lapse, group, name)
-
-    def copy_groups(self) -> None:
-        """Keep the groups as they are now, for a later restore."""
-        state = (self.groups, self.generations, self.committed)
-        self.group_copies.append((time.monotonic(), copy.deepcopy(state)))
-
     def write_again(self, lost: dict[tuple[str, int], list[bytes]]) -> None:
         """Append what the operator and the workers had lost."""
         for key, records in lost.items():
@@ -307,60 +283,23 @@
         web.finish(request, page)
 
     def join(self, request: Any) -> None:
-        """Take a member in, and deal the partitions out evenly."""
-        data = web.body(request)
-        members = self.groups.setdefault(data["group"], {})
-        if data["member"] not in members:
-            self.generations[data["group"]] = self.generation(data) + 1
-        members[data["member"]] = time.monotonic() + data["ttl_ms"] / 1000
-        later_s = data["ttl_ms"] / 1000
-        reactor.callLater(later_s, self.lapse, data["group"], data["member"])
-        mine = sorted(members).index(data["member"])
-        parts = [
-            [topic, number, self.committed.get((data["group"], topic, 0), 0)]
-            for topic in data["topics"]
-            for number in range(24)
-            if number % len(members) == mine
-        ]
-        self.copy_groups()
-        answer = {"generation": self.generation(data), "parts": parts}
-        web.finish(request, {**answer, "ttl_ms": data["ttl_ms"]})
-
-    def lapse(self, group: str, member: str) -> None:
-        """Take a member out that has been silent for its time."""
-        members = self.groups.get(group, {})
-        if members.get(member, math.inf) <= time.monotonic():
-            del members[member]
-            self.generations[group] += 1
-            self.copy_groups()
-
-    def generation(self, data: dict[str, Any]) -> int:
-        """Return the generation of a group."""
-        return self.generations.get(data["group"], 0)
+        """Take a member into a group, or keep it there."""
+        web.finish(request, self.groups.join(web.body(request)))
 
     def leave(self, request: Any) -> None:
-        """Let a member go."""
+        """Let a member of a group go."""
         data = web.body(request)
-        if self.groups.get(data["group"], {}).pop(data["member"], None):
-            self.generations[data["group"]] = self.generation(data) + 1
-            self.copy_groups()
+        self.groups.leave(data["group"], data["member"])
         web.finish(request, {})
 
     def commit(self, request: Any) -> None:
         """Keep how far a member is."""
-        data = web.body(request)
-        held = data["member"] in self.groups.get(data["group"], {})
-        if not held or data["generation"] != self.generation(data):
-            web.finish(request, {}, 409)
-            return
-        key = (data["group"], data["topic"], data["part"])
-        self.committed[key] = data["offset"]
-        web.finish(request, {})
+        kept = self.groups.commit(web.body(request))
+        web.finish(request, {}, 200 if kept else 409)
 
     def owners(self, request: Any) -> None:
         """Tell the members of a group."""
-        group = _text(request, "group")
-        rows = [["", 0, name, 0] for name in self.groups.get(group, {})]
+        rows = self.groups.owners(_text(request, "group"))
         web.finish(request, {"parts": rows})
 
 
