--- a/packages/reelscale-core/src/reelscale_core/state.py
+++ b/packages/reelscale-core/src/reelscale_core/state.py
@@ -71,7 +71,8 @@
     """The configuration, folded from the log up to an offset.
 
     Attributes:
-      offset: Offset of the last folded record; -1 before the first.
+      offset: Position (position.py) of the last folded record; -1 before the
+        first.
       workspaces_by_name: Workspaces.
       services_by_name: Plain services.
       groups_by_name: Groups of ranks.
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -4,7 +4,8 @@
  * Copyright 2026 The reelscale maintainers. Licensed under Apache-2.0.
  *
  * One framed connection a pair, opened by the caller's side; calls are
- * multiplexed on it by sequence number.  Every call is safe to repeat.
+ * multiplexed on it by sequence number.  Every call is safe to repeat.  Fields
+ * named offset hold positions, see reelscale_core/position.py.
  */
 namespace py reelscale_wire.gen
 
