--- a/platform/src/reelscale_platform/incarnation.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/incarnation.py
@@ -1,4 +1,4 @@
-"""The incarnation of the store, which its answers name.
+"""The incarnation of a store, which its answers name.
 
 The store may come back from a copy that lacks its newest records, though they
 were acknowledged, and assigns their offsets again.  Its incarnation rises
@@ -9,11 +9,11 @@
 __license__ = "Apache-2.0"
 
 from reelscale_core import number, position
-from reelscale_daemon import logs
-from reelscale_daemon.exchange import connection
+
+from .. import logs
+from ..exchange import connection
 
 LOG = logs.Logger("store")
-HEADER = b"Store-Era"
 
 
 class OutdatedError(Exception):
@@ -27,8 +27,14 @@
       number: That incarnation; 0 while no answer has named one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, header: bytes) -> None:
+        """Initialize without an incarnation.
+
+        Args:
+          header: Name of the header that names it.
+        """
         self.number = 0
+        self._header = header
         self._unreadable_logged = False
 
     def observe(self, head: connection.Head) -> None:
@@ -55,7 +61,7 @@
 
     def _read(self, head: connection.Head) -> int | None:
         """Return what the header says; None if there is none to use."""
-        stated = head.get(HEADER)
+        stated = head.get(self._header)
         if stated is None:
             return None
         named = number.integer(stated.decode("latin-1"))
