Log losses that were no crash, and streams that end inside an event

The check now returns which evidence it found, and one line says so; another line says that a stream ended inside an event. No decision changes.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/crash_evidence.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/crash_evidence.py
@@ -9,6 +9,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import enum
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -20,6 +21,22 @@
 PROBE_TIMEOUT_S = 1.0
 
 
+class Finding(enum.Enum):
+    """What is found out about an upstream after a lost exchange."""
+
+    RESTARTED = "a later start was announced"
+    REFUSES = "it refuses connections"
+    UNLISTED = "it is leaving or no longer listed"
+    CONNECTED = "other connections to it are open"
+    ACCEPTS = "it accepts connections"
+    NO_ANSWER = "it does not answer"
+
+    @property
+    def crashed(self) -> bool:
+        """Whether this is evidence of a crash."""
+        return self in (Finding.RESTARTED, Finding.REFUSES)
+
+
 class Upstreams(Protocol):
     """The controller that tracks the upstreams."""
 
@@ -54,18 +71,18 @@
         self._upstreams = upstreams
         self._open_connections = open_connections
 
-    async def has_crashed(self, upstream: announcement.Announcement) -> bool:
-        """Return whether a start has crashed, on present evidence."""
+    async def find(self, upstream: announcement.Announcement) -> Finding:
+        """Return what present evidence says of a start."""
         if self._upstreams.restarted(upstream.start):
-            return True
+            return Finding.RESTARTED
         if not self._upstreams.listed(upstream.start):
-            return False
+            return Finding.UNLISTED
         if self._open_connections(upstream.address):
-            return False
-        return await self._refuses(upstream.address)
+            return Finding.CONNECTED
+        return await self._probe(upstream.address)
 
-    async def _refuses(self, address: str) -> bool:
-        """Return whether an address refuses connections."""
+    async def _probe(self, address: str) -> Finding:
+        """Open a connection to an address and close it."""
         host, _, port = address.rpartition(":")
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor, host, int(port), timeout=PROBE_TIMEOUT_S
@@ -75,8 +92,8 @@
                 endpoint, protocol.Protocol()
             )
         except error.ConnectionRefusedError:
-            return True
+            return Finding.REFUSES
         except error.ConnectError:
-            return False
+            return Finding.NO_ANSWER
         connected.transport.abortConnection()
-        return False
+        return Finding.ACCEPTS
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
@@ -180,10 +180,17 @@
     async def _check(self, upstream: announcement.Announcement) -> None:
         """Check whether a start has crashed, and record it."""
         await task.deferLater(self._reactor, CRASH_CHECK_DELAY_S)
-        crashed = await self._evidence.has_crashed(upstream)
+        finding = await self._evidence.find(upstream)
         losses = self._losses.pop(upstream.start)
-        if crashed:
+        if finding.crashed:
             self._record_crash(upstream.start, losses)
+            return
+        LOG.info(
+            "An exchange was lost, but its upstream has not crashed.",
+            upstream=upstream.start.key,
+            requests=[loss.request.id for loss in losses],
+            finding=finding.value,
+        )
 
     def _record_crash(
         self, start: announcement.Start, losses: list[Loss]
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -12,11 +12,13 @@
 
 from reelscale_core import announcement, backoff, events
 
+from .. import logs
 from ..adapters import base
 from ..exchange import connection
 from . import attempt, call, writer
 from . import context as contexts
 
+LOG = logs.Logger("attempt")
 # Answers with this status or above are failures of the upstream.
 MIN_FAILURE_STATUS = 500
 EVENT_STREAM = b"text/event-stream"
@@ -221,6 +223,13 @@
         active.context.outages.record_progress(active.request, active.name)
         last_at = _record_pause(active, last_at)
     if cutter.pending:
+        LOG.info(
+            "A stream ended inside an event.",
+            request=active.request.id,
+            upstream=active.upstream.start.key,
+            events=out.events,
+            bytes=len(cutter.pending),
+        )
         raise _garbled(active)
     if not out.begun:
         out.begin(head.status, head.headers)
