Add failing scenarios: a part of prompts crashes worker after worker

Callers saw three routes refused while requests that share one part of their prompts ended upstream after upstream; no two of them are alike.

The stand-in worker now crashes on a part of a prompt in five ways, and comes back under a new id; mixed callers send such requests beside sound ones that share key, path and parts.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -106,8 +106,15 @@
         self.address[name] = f"127.0.0.1:{port}"
         self.workers[name] = (service, hall)
         faulty = hall == "a"
-        data = {"id": name, "port": port, "faulty": faulty}
-        data["slots"] = self._slots
+        data = {
+            "id": name,
+            "port": port,
+            "faulty": faulty,
+            "slots": self._slots,
+            "service": service,
+            "hall": hall,
+            "store": self._store,
+        }
         self._add_stand_in(name, "worker", data)
 
     def _add_entry(self, name: str) -> None:
@@ -271,6 +278,11 @@
         data = {"retry_after": retry_after}
         self.client.post(url, json=data).raise_for_status()
 
+    def control_worker(self, name: str, **fields: Any) -> None:
+        """Change how a worker behaves; see worker.py and crashing.py."""
+        url = f"http://{self.address[name]}/control"
+        self.client.post(url, json=fields).raise_for_status()
+
     def say_leaving(self, name: str) -> None:
         """Have a worker say in its answers alone that it leaves."""
         url = f"http://{self.address[name]}/control"
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -18,7 +18,7 @@
 import h11
 from twisted.internet import protocol, reactor
 
-from . import web, worker_faults
+from . import crashing, web, worker_faults
 
 EVENTS = 6
 EVENT_GAP_S = 0.01
@@ -45,12 +45,25 @@
         self.undecided: list[Channel] = []
         self.accepted = 0
         self.shed = 0
+        self.crashes = crashing.Crashes(settings)
+        # Seconds from a request to the first event of its stream.
+        self.prefill_s = 0.0
+        self.channels: set[Channel] = set()
+        # Listens while the worker is up.
+        self.port: Any = None
+        self._port_number = settings["port"]
 
     def buildProtocol(self, address: Any) -> "Channel":  # noqa: N802
         """Return the protocol of a new connection."""
         self.accepted += 1
         return Channel(self)
 
+    def listen(self) -> None:
+        """Take connections."""
+        self.port = reactor.listenTCP(
+            self._port_number, self, interface="127.0.0.1", backlog=512
+        )
+
 
 class Channel(protocol.Protocol):
     """One connection, with one request at a time."""
@@ -63,6 +76,10 @@
         self.run: dict[str, Any] | None = None
         self.streaming = ""
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Count the connection in."""
+        self.worker.channels.add(self)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read requests."""
         self.http.receive_data(data)
@@ -85,6 +102,7 @@
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Note the run, and the stream, that its caller has left."""
+        self.worker.channels.discard(self)
         if self.run is not None:
             self.run["left_at"] = time.monotonic()
         if self.streaming:
@@ -115,6 +133,7 @@
                 "undecided": len(self.worker.undecided),
                 "accepted": self.worker.accepted,
                 "shed": self.worker.shed,
+                "crashes": self.worker.crashes.rows,
             }
             self.whole(json.dumps(ledger).encode())
             return
@@ -126,8 +145,14 @@
             self.worker.retry_after = data.get(
                 "retry_after", self.worker.retry_after
             )
+            self.worker.prefill_s = data.get(
+                "prefill_s", self.worker.prefill_s
+            )
+            self.worker.crashes.control(data)
             if data.get("shed"):
                 self.shed_undecided()
+            if data.get("crash"):
+                self.worker.crashes.crash(self.worker)
             self.whole(b"{}")
             return
         if self.worker.retry_after:
@@ -140,7 +165,9 @@
         act = worker_faults.FAULTS.get(self.word())
         if self.word() not in NOT_RUN:
             self.note_run()
-        if act is not None:
+        if self.worker.crashes.is_deadly(self):
+            self.worker.crashes.schedule(self)
+        elif act is not None:
             act(self)
         elif path.startswith("/chat"):
             self.stream()
@@ -150,7 +177,11 @@
     def note_reached(self) -> None:
         """Write down that the head of a request is here."""
         if self.request.target not in OWN_PATHS:
-            row = {"id": self.header("request-id"), "at": time.monotonic()}
+            row = {
+                "id": self.header("request-id"),
+                "at": time.monotonic(),
+                "parts": crashing.shared_parts(self.header(crashing.PREFIX)),
+            }
             self.worker.reached.append(row)
 
     def shed_undecided(self) -> None:
@@ -276,7 +307,10 @@
             self.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
             reactor.callLater(gap_s, piece, number + 1)
 
-        piece(start + 1)
+        if self.worker.prefill_s:
+            reactor.callLater(self.worker.prefill_s, piece, start + 1)
+        else:
+            piece(start + 1)
 
 
 # Paths by which tests ask a worker, and words that are no runs.
@@ -287,9 +321,7 @@
 def main() -> None:
     """Serve until killed."""
     settings = web.arguments()
-    reactor.listenTCP(
-        settings["port"], Worker(settings), interface="127.0.0.1", backlog=512
-    )
+    Worker(settings).listen()
     reactor.run()
 
 
