Charge a crash to the parts that prompts share

Callers saw routes refused while requests that share one part of their prompts ended upstream after upstream, no two alike.

Cause: a crash was charged to whole requests, named by workspace, method, path and body.

A crash is charged to all parts of the requests that were unanswered there. An answer that begins clears, whatever was concluded before. Requests with it are refused at once, also in the queue and when their connection opens; a lost request whose part was only ever seen at crashes is not retried, and retries wait for the check.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
@@ -1,19 +1,22 @@
 """Identifies requests that crash upstreams, jointly with other entries.
 
-Whether an upstream has crashed is determined in crash_evidence.py; which of
-its requests are suspected or convicted is decided in core/suspicion.py.
+Whether an upstream has crashed is determined in crash_evidence.py.  Which of
+its requests are suspected or convicted is decided in core/suspicion.py, and
+which parts of their prompts in core/part_suspicion.py.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
 import collections
+import dataclasses
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from reelscale_core import (
     announcement,
     clock,
+    part_suspicion,
     routing,
     short_hash,
     suspicion,
@@ -23,18 +26,20 @@
 
 from .. import logs
 from ..filters import call
-from . import crash_evidence
+from . import crash_evidence, suspect_rows
 
 LOG = logs.Logger("suspects")
 # Delay in seconds from a lost exchange to the crash check, so that the other
 # connections of a crashed upstream are closed by then.
 CRASH_CHECK_DELAY_S = 0.05
-# Records in one datagram, newest first; each takes some 45 bytes of 1,400.
-MAX_REPORTED = 12
-# Starts named in a reported record; fewer crashes suffice for a conviction.
-MAX_STARTS = 8
-MAX_AGE_MS = int(suspicion.RETENTION_S * 1000)
-VERDICTS = frozenset(suspicion.Verdict)
+# Delays in seconds of further checks of an upstream that seemed to be alive:
+# it may close the connection of a request some time before the others.
+LATER_CHECK_DELAYS_S = (0.25, 0.7)
+ALIVE = frozenset(
+    (crash_evidence.Finding.CONNECTED, crash_evidence.Finding.ACCEPTS)
+)
+# Maximum wait of a retry for the first check, in seconds.
+RETRY_WAIT_S = 0.2
 
 
 class Loss(NamedTuple):
@@ -43,14 +48,35 @@
     Attributes:
       request: The request.
       running: Requests in progress there from all entries, as far as known.
+      answered: Whether the upstream had begun to answer it.
     """
 
     request: call.Call
     running: int
+    answered: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class Check:
+    """A check for a crash that is in progress.
+
+    Attributes:
+      lost_at: Monotonic seconds at which the first exchange was lost.
+      losses: The exchanges lost so far.
+      waiters: Fire after the first look.
+    """
+
+    lost_at: float
+    losses: list[Loss] = dataclasses.field(default_factory=list)
+    waiters: list[defer.Deferred] = dataclasses.field(default_factory=list)
 
 
 class Suspects:
-    """The requests that were in progress at upstreams that crashed."""
+    """The requests that were in progress at upstreams that crashed.
+
+    Attributes:
+      on_convicted: Called after a request or a part was convicted.
+    """
 
     def __init__(
         self,
@@ -72,8 +98,11 @@
         self._clock = clock
         self._evidence = evidence
         self._on_update = on_update
+        self.on_convicted: list[Callable[[], None]] = []
         self._records = suspicion.Suspects()
-        self._losses: dict[announcement.Start, list[Loss]] = {}
+        self._parts = part_suspicion.Parts()
+        self._sender = suspect_rows.Sender()
+        self._checks: dict[announcement.Start, Check] = {}
         # Suspects in progress at each start, from this and other entries.
         self._local: dict[int, collections.Counter[int]] = {}
         self._remote: dict[str, dict[int, frozenset[int]]] = {}
@@ -88,6 +117,29 @@
 
     def convicted_s(self, request: call.Call) -> float:
         """Return seconds for which a request is rejected, 0 if it is not."""
+        now = self._clock.monotonic()
+        parts_s = (
+            self._parts.rejected_s(digest, now)
+            for digest in part_digests_of(request)
+        )
+        return max(self._request_convicted_s(request), *parts_s, 0.0)
+
+    def convicted_part(self, request: call.Call) -> str:
+        """Return the part for which a request is rejected, "" for none."""
+        now = self._clock.monotonic()
+        for part, digest in zip(
+            request.parts, part_digests_of(request), strict=False
+        ):
+            if self._parts.rejected_s(digest, now):
+                return part
+        return ""
+
+    def is_doubtful(self, request: call.Call) -> bool:
+        """Return whether a retry is likely to crash another upstream."""
+        digests = part_digests_of(request)
+        return any(self._parts.is_doubtful(digest) for digest in digests)
+
+    def _request_convicted_s(self, request: call.Call) -> float:
         record = self.lookup(request)
         if record is None or record.verdict is not suspicion.Verdict.CONVICTED:
             return 0.0
@@ -144,6 +196,22 @@
         if not self._local[number]:
             del self._local[number]
 
+    def record_answer(self, request: call.Call) -> None:
+        """Clear the parts of a request that an upstream begins to answer."""
+        digests = part_digests_of(request)
+        if not digests:
+            return
+        target = short_hash.of(request.target)
+        now = self._clock.monotonic()
+        cleared = self._parts.record_answer(digests, target=target, now=now)
+        if cleared:
+            LOG.info(
+                "An answer to a request with suspected parts has begun.",
+                request=request.id,
+                digests=cleared,
+            )
+            self._on_update()
+
     def record_success(self, request: call.Call) -> None:
         """Clear a request that an upstream has answered completely."""
         if not self._records.by_digest:
@@ -162,6 +230,7 @@
         upstream: announcement.Announcement,
         *,
         running: int,
+        answered: bool = False,
     ) -> None:
         """Record a request whose exchange broke, and check for a crash.
 
@@ -170,30 +239,60 @@
           upstream: The announcement of the upstream it was sent to.
           running: Requests in progress there from all entries, as far as
             known.
+          answered: Whether the upstream had begun to answer it.
         """
-        start = upstream.start
-        first = start not in self._losses
-        self._losses.setdefault(start, []).append(Loss(request, running))
+        check = self._checks.get(upstream.start)
+        first = check is None
+        if check is None:
+            check = Check(lost_at=self._clock.monotonic())
+            self._checks[upstream.start] = check
+        check.losses.append(Loss(request, running, answered))
         if first:
-            defer.ensureDeferred(self._check(upstream))
-
-    async def _check(self, upstream: announcement.Announcement) -> None:
+            defer.ensureDeferred(self._check(upstream, check))
+
+    async def wait_for_check(self, name: str) -> None:
+        """Wait until a crash of an upstream is known, for a short time."""
+        for start, check in self._checks.items():
+            if start.name == name:
+                waiter = defer.Deferred()
+                check.waiters.append(waiter)
+                waiter.addTimeout(
+                    RETRY_WAIT_S,
+                    self._reactor,
+                    onTimeoutCancel=lambda *_: None,
+                )
+                await waiter
+                return
+
+    async def _check(
+        self, upstream: announcement.Announcement, check: Check
+    ) -> None:
         """Check whether a start has crashed, and record it."""
-        await task.deferLater(self._reactor, CRASH_CHECK_DELAY_S)
-        finding = await self._evidence.find(upstream)
-        losses = self._losses.pop(upstream.start)
-        if finding.crashed:
-            self._record_crash(upstream.start, losses)
-            return
-        LOG.info(
-            "An exchange was lost, but its upstream has not crashed.",
-            upstream=upstream.start.key,
-            requests=[loss.request.id for loss in losses],
-            finding=finding.value,
-        )
+        for delay_s in (CRASH_CHECK_DELAY_S, *LATER_CHECK_DELAYS_S):
+            await task.deferLater(self._reactor, delay_s)
+            finding = await self._evidence.find(upstream)
+            if finding.crashed:
+                self._record_crash(
+                    upstream.start, check.losses, lost_at=check.lost_at
+                )
+            _release(check)
+            if finding not in ALIVE:
+                break
+        del self._checks[upstream.start]
+        if not finding.crashed:
+            LOG.info(
+                "An exchange was lost, but its upstream has not crashed.",
+                upstream=upstream.start.key,
+                requests=[loss.request.id for loss in check.losses],
+                finding=finding.value,
+            )
 
     def _record_crash(
-        self, start: announcement.Start, losses: list[Loss]
+        self,
+        start: announcement.Start,
+        losses: list[Loss],
+        *,
+        lost_at: float | None = None,
     ) -> None:
         number = short_hash.of(start.key)
         by_digest = {digest_of(loss.request): loss for loss in losses}
@@ -204,14 +303,19 @@
             other_suspects=remote,
             sole_request=len(by_digest) == 1 and losses[0].running <= 1,
         )
-        convicted = self._records.record_crash(crash, self._clock.monotonic())
+        now = self._clock.monotonic()
+        convicted = self._records.record_crash(crash, now)
+        unanswered = [loss.request for loss in losses if not loss.answered]
         LOG.warning(
             "An upstream has crashed; what ran there is suspected.",
             upstream=start.key,
             requests=[loss.request.id for loss in losses],
+            unanswered=[request.id for request in unanswered],
+            parts=sorted({p for r in unanswered for p in r.parts}),
             crashes=max(
-                len(self._records.by_digest[digest].crashed)
+                len(record.crashed)
                 for digest in by_digest
+                if (record := self._records.by_digest.get(digest))
             ),
             suspects_of_others=len(remote),
             alone=crash.sole_request,
@@ -223,7 +327,53 @@
                 crashed=len(self._records.by_digest[digest].crashed),
                 kept_s=suspicion.RETENTION_S,
             )
+        at = now if lost_at is None else lost_at
+        convicted += self._charge_parts(
+            part_suspicion.Crash(at, number), unanswered, now
+        )
         self._on_update()
+        if convicted:
+            self._call_on_convicted()
+
+    def _charge_parts(
+        self,
+        crash: part_suspicion.Crash,
+        unanswered: list[call.Call],
+        now: float,
+    ) -> list[int]:
+        """Charge a crash to the parts present; return those it convicts."""
+        convicted = []
+        by_target: dict[str, dict[int, str]] = {}
+        for request in unanswered:
+            names = by_target.setdefault(request.target, {})
+            digests = part_digests_of(request)
+            names.update(zip(digests, request.parts, strict=False))
+        for target, names in by_target.items():
+            found = self._parts.record_crash(
+                crash, tuple(names), target=short_hash.of(target), now=now
+            )
+            self._log_convicted_parts(found, names)
+            convicted += found
+        return convicted
+
+    def _log_convicted_parts(
+        self, digests: list[int], names: dict[int, str]
+    ) -> None:
+        for digest in digests:
+            record = self._parts.by_digest[digest]
+            LOG.warning(
+                "Rejecting requests with a part that crashes upstreams.",
+                digest=digest,
+                part=names.get(digest, ""),
+                crashed=[crash.start for crash in record.crashes],
+                answers=self._parts.answers(digest),
+                other_answers=record.other_answers,
+                kept_s=part_suspicion.REJECTED_S,
+            )
+
+    def _call_on_convicted(self) -> None:
+        for function in self.on_convicted:
+            function()
 
     def _suspects_at(self, number: int) -> set[int]:
         local = self._local.get(number, ())
@@ -238,21 +388,27 @@
         """Add a fraction of the records to a datagram."""
         now = self._clock.monotonic()
         self._records.expire(now)
-        rows = list(self._records.by_digest.items())[::-1]
+        self._parts.expire(now)
+        reports = self._reports()
+        most = int(suspect_rows.MAX_ROWS * fraction)
+        chosen = self._sender.choose(message, reports, most=most, now=now)
+        message.suspects = [suspect_rows.encode(item, now) for item in chosen]
+        if self._sender.has_more(reports):
+            self._on_update()
+
+    def _reports(self) -> list[suspect_rows.Report]:
         running = self._running_by_digest()
-        # Suspects in progress first: other entries avoid their upstreams.
-        rows.sort(key=lambda row: row[0] not in running)
-        message.suspects = [
-            ttypes.Suspect(
-                digest=digest,
-                crashed=sorted(record.crashed)[:MAX_STARTS],
-                alone=record.sole_request_crashes,
-                verdict=int(record.verdict),
-                age_ms=min(MAX_AGE_MS, int((now - record.updated_at) * 1000)),
-                running=running.get(digest, [])[:MAX_STARTS],
+        reports: list[suspect_rows.Report] = [
+            suspect_rows.RequestReport(
+                digest, record, tuple(running.get(digest, ()))
             )
-            for digest, record in rows[: int(MAX_REPORTED * fraction)]
+            for digest, record in self._records.by_digest.items()
+        ]
+        reports += [
+            suspect_rows.PartReport(digest, record)
+            for digest, record in self._parts.by_digest.items()
         ]
+        return reports
 
     def _running_by_digest(self) -> dict[int, list[int]]:
         by_digest: dict[int, list[int]] = {}
@@ -263,34 +419,52 @@
 
     def apply(self, message: ttypes.Usage) -> None:
         """Apply the records and suspects reported by another entry."""
-        rows = [row for row in message.suspects or () if _is_valid(row)]
-        if not rows:
-            self._remote.pop(message.name, None)
-            return
         now = self._clock.monotonic()
         digests_by_number: dict[int, set[int]] = {}
-        for row in rows:
-            record = suspicion.Record(
-                crashed=frozenset(row.crashed),
-                sole_request_crashes=row.alone,
-                verdict=suspicion.Verdict(row.verdict),
-                updated_at=now - row.age_ms / 1000,
-            )
-            self._merge(row.digest, record, message.name)
-            for number in row.running:
-                digests_by_number.setdefault(number, set()).add(row.digest)
+        for row in message.suspects or ():
+            match suspect_rows.decode(row, now):
+                case suspect_rows.RequestReport() as item:
+                    self._merge(item.digest, item.record, message.name)
+                    for number in item.running:
+                        digests = digests_by_number.setdefault(number, set())
+                        digests.add(item.digest)
+                case suspect_rows.PartReport() as item:
+                    self._merge_part(item, message.name)
         self._remote[message.name] = {
             number: frozenset(digests)
             for number, digests in digests_by_number.items()
         }
 
+    def _merge_part(
+        self, item: suspect_rows.PartReport, reporter: str
+    ) -> None:
+        now = self._clock.monotonic()
+        old = self._parts.by_digest.get(item.digest)
+        was_rejected = self._parts.rejected_s(item.digest, now) > 0
+        convicted = self._parts.merge(item.digest, item.record, now)
+        new = self._parts.by_digest.get(item.digest)
+        if new is not None and (old is None or old.crashes != new.crashes):
+            LOG.info(
+                "Another entry reported a suspected part.",
+                digest=item.digest,
+                teller=reporter,
+                crashes=len(new.crashes),
+                convicted=new.convicted_at is not None,
+            )
+        self._log_convicted_parts(convicted, {})
+        is_rejected = self._parts.rejected_s(item.digest, now) > 0
+        if convicted:
+            self._on_update()
+        if convicted or (is_rejected and not was_rejected):
+            self._call_on_convicted()
+
     def _merge(
         self, digest: int, record: suspicion.Record, reporter: str
     ) -> None:
         old = self._records.by_digest.get(digest)
         self._records.merge(digest, record)
-        new = self._records.by_digest[digest]
-        if old is None or old[:3] != new[:3]:
+        new = self._records.by_digest.get(digest)
+        if new is not None and (old is None or old[:3] != new[:3]):
             LOG.info(
                 "Another entry reported a suspected request.",
                 digest=digest,
@@ -298,6 +472,8 @@
                 crashes=len(new.crashed),
                 verdict=new.verdict.name.lower(),
             )
+            if new.verdict is suspicion.Verdict.CONVICTED:
+                self._call_on_convicted()
 
     def forget(self, name: str) -> None:
         """Drop the suspects in progress of an entry that was removed."""
@@ -316,14 +492,20 @@
     return request.digest
 
 
-def _is_valid(row: ttypes.Suspect) -> bool:
-    """Return whether a row of a datagram is valid."""
-    numbers = (row.digest, row.alone, row.verdict, row.age_ms)
-    if None in (*numbers, row.crashed, row.running):
-        return False
-    within_limits = max(len(row.crashed), len(row.running)) <= MAX_STARTS
-    valid_count = 0 <= row.alone <= len(row.crashed)
-    valid_age = 0 <= row.age_ms <= MAX_AGE_MS
-    return (
-        within_limits and valid_count and valid_age and row.verdict in VERDICTS
-    )
+def part_digests_of(request: call.Call) -> tuple[int, ...]:
+    """Return the digests of the parts that a request shares with others."""
+    if request.part_digests is None:
+        parts = request.parts[: part_suspicion.MAX_PARTS]
+        request.part_digests = tuple(
+            part_suspicion.digest(target=request.target, part=part)
+            for part in parts
+        )
+    return request.part_digests
+
+
+def _release(check: Check) -> None:
+    """Let the retries go on that wait for a check."""
+    waiters, check.waiters = check.waiters, []
+    for waiter in waiters:
+        if not waiter.called:
+            waiter.callback(None)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
@@ -37,6 +37,8 @@
       path: Path and query for the upstream.
       headers: Headers for the upstream.
       body: Body for the upstream.
+      parts: Ids of the parts of its prompt that other requests may share, in
+        order.
       priority: Class, 0 the most urgent.
       at_most_once: Whether it must not run twice.
       idempotency_key: The caller's Idempotency-Key, empty for none.
@@ -58,6 +60,7 @@
       attempts: Upstreams tried, each with the reason it was chosen.
       events: Number of events of a stream that were sent to the caller.
       digest: Digest that identifies it at every entry, None until computed.
+      part_digests: Digests of its parts, None until computed.
       retry_after_s: Retry-After that was sent to the caller, if it was
         refused.
     """
@@ -80,6 +83,7 @@
     path: str = ""
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     body: bytes = b""
+    parts: tuple[str, ...] = ()
     priority: int = 2
     at_most_once: bool = False
     idempotency_key: str = ""
@@ -97,5 +101,6 @@
     first_byte_at: float | None = None
     events: int = 0
     digest: int | None = None
+    part_digests: tuple[int, ...] | None = None
     retry_after_s: float | None = None
     attempts: list[str] = dataclasses.field(default_factory=list)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -34,16 +34,14 @@
       CallerDisconnectedError: The caller disconnected.
     """
     upstream = context.current_view(request).upstream
-    if context.suspects.convicted_s(request):
-        raise attempt.AttemptLostError(
-            suspect.CRASHES, peer=upstream.name, not_run=True
-        )
+    _check_suspect(request, context, upstream)
     request.attempts.append(f"{upstream.name} ({request.choice.reason})")
     context.metrics.attempts.inc({"upstream": upstream.name})
     conn = await _connect(request, context, upstream)
     try:
         _check_time(request, context, upstream)
         _check_accepted(request, context, upstream)
+        _check_suspect(request, context, upstream)
     except attempt.AttemptLostError:
         context.connections.release(conn)
         raise
@@ -65,6 +63,22 @@
         _end(active, timer)
 
 
+def _check_suspect(
+    request: call.Call,
+    context: contexts.Context,
+    upstream: announcement.Announcement,
+) -> None:
+    """Check that the request has not been convicted meanwhile.
+
+    Raises:
+      AttemptLostError: It has; nothing was sent.
+    """
+    if context.suspects.convicted_s(request):
+        raise attempt.AttemptLostError(
+            suspect.CRASHES, peer=upstream.name, not_run=True
+        )
+
+
 def _check_time(
     request: call.Call,
     context: contexts.Context,
@@ -176,25 +190,12 @@
         return _expired(active)
     active.context.record_failure(active.name, view=active.request.view)
     if lost.written and lost.code != connection.UNRESPONSIVE:
-        _record_lost(active)
+        active.record_lost()
     return attempt.AttemptLostError(
         lost.code, peer=active.name, not_run=not lost.written
     )
 
 
-def _record_lost(active: direct_answer.ActiveAttempt) -> None:
-    """Report the loss, so that a crash of the upstream can be detected."""
-    candidates = active.context.membership.candidates(active.request.target)
-    running = sum(
-        item.running + item.queued
-        for item in candidates
-        if item.name == active.name
-    )
-    active.context.suspects.record_lost(
-        active.request, active.upstream, running=running
-    )
-
-
 def _expired(active: direct_answer.ActiveAttempt) -> Exception:
     """Return the error that ends a request past its deadline."""
     if active.out.begun:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -37,6 +37,8 @@
       conn: The connection, used by this attempt only until it ends.
       upstream: The upstream.
       abort_code: Error code with which it was aborted, empty if it was not.
+      answered: Whether the upstream has begun to answer: a whole event, or
+        the whole of an answer that is no stream.
     """
 
     request: call.Call
@@ -45,6 +47,7 @@
     conn: connection.Connection
     upstream: announcement.Announcement
     abort_code: str = ""
+    answered: bool = False
 
     @property
     def name(self) -> str:
@@ -64,6 +67,27 @@
         self.conn.abort()
         self.out.stop_waiting()
 
+    def record_answer(self) -> None:
+        """Record that the upstream has begun to answer."""
+        if not self.answered:
+            self.answered = True
+            self.context.suspects.record_answer(self.request)
+
+    def record_lost(self) -> None:
+        """Report the loss, so that a crash of the upstream is detected."""
+        candidates = self.context.membership.candidates(self.request.target)
+        running = sum(
+            item.running + item.queued
+            for item in candidates
+            if item.name == self.name
+        )
+        self.context.suspects.record_lost(
+            self.request,
+            self.upstream,
+            running=running,
+            answered=self.answered,
+        )
+
     def lost(self, code: str) -> attempt.AttemptLostError:
         """Return the error for an attempt that may have run."""
         return attempt.AttemptLostError(code, peer=self.name, not_run=False)
@@ -98,6 +122,7 @@
         await _relay_events(active, head)
     else:
         await _relay_body(active, head)
+    active.record_answer()
     context.record_success(active.name, view=active.request.view)
     context.suspects.record_success(active.request)
     taken_s = context.clock.monotonic() - began
@@ -219,6 +244,7 @@
         if not complete:
             continue
         _check_order(active, complete)
+        active.record_answer()
         _send_events(active, head, complete)
         active.context.outages.record_progress(active.request, active.name)
         last_at = _record_pause(active, last_at)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -84,6 +84,9 @@
     ran: bool,
 ) -> None:
     """Prepare another attempt or raise the error that ends the request."""
+    if request.parts and not lost.not_run:
+        # A request that crashed the upstream would crash the next.
+        await context.suspects.wait_for_check(lost.peer)
     if request.disconnected:
         raise writer.CallerDisconnectedError
     if request.idempotency_key:
@@ -94,8 +97,7 @@
     remaining_s = min(request.deadline, request.answer_deadline) - now
     if request.route is not None:
         remaining_s = request.answer_deadline - now
-    convicted = context.suspects and context.suspects.convicted_s(request)
-    if convicted or context.outages.out(request):
+    if _crashes(request, context, lost) or context.outages.out(request):
         raise _failure(request, context, out, lost, ran)
     worth = retry.may_retry(
         attempts=tries,
@@ -121,6 +123,19 @@
         await _wait_for_slot(request, context, out, lost, ran)
 
 
+def _crashes(
+    request: call.Call,
+    context: contexts.Context,
+    lost: attempts.AttemptLostError,
+) -> bool:
+    """Return whether another attempt is likely to crash an upstream."""
+    if context.suspects is None:
+        return False
+    if context.suspects.convicted_s(request):
+        return True
+    return not lost.not_run and context.suspects.is_doubtful(request)
+
+
 async def _wait_for_slot(
     request: call.Call,
     context: contexts.Context,
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -189,6 +189,9 @@
         self._parts.on_local_change = self._usage.changed
         self._usage.on_change = self._parts.pump
         self._usage.on_removed = self._suspects.forget
+        self._suspects.on_convicted.append(
+            lambda: suspect.refuse_waiting(self._parts)
+        )
         self._usage.updates = (self._directory.rate_limits, self._suspects)
         self._usage.on_configuration = self._base.config.record_peer_offset
         self._usage.on_roster_offset = self._directory.on_peer_offset
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -165,14 +165,19 @@
   3: i32 age_ms,           // Since the upstream's answer told it.
 }
 
-// A request that was in progress on starts of upstreams as they crashed.
+// A request, or a part of prompts, that was in progress on starts of upstreams
+// as they crashed.
 struct Suspect {
-  1: i64 digest,           // Of workspace, method, path, query and body.
+  1: i64 digest,           // Of workspace, method, path, query and body; of a
+                           // part: of target and part.
   2: list<i32> crashed,    // Hashes of those starts.
   3: i32 alone,            // At how many of them nothing else was running.
   4: i32 verdict,          // See core/suspicion.py, Verdict.
   5: i32 age_ms,           // Since the newest change.
   6: list<i32> running,    // Hashes of starts that it is at now.
+  7: optional list<i32> crash_ages_ms,  // Of a part only: since each crash.
+  8: optional i32 answer_age_ms,  // Of a part: since an answer with it began.
+  9: optional i32 target,  // Of a part: hash of the target of its requests.
 }
 
 // Sent between entries as a datagram; a lost one is made up by the next.
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -2001,17 +2001,23 @@
      - verdict
      - age_ms
      - running
+     - crash_ages_ms
+     - answer_age_ms
+     - target
 
     """
 
 
-    def __init__(self, digest=None, crashed=None, alone=None, verdict=None, age_ms=None, running=None,):
+    def __init__(self, digest=None, crashed=None, alone=None, verdict=None, age_ms=None, running=None, crash_ages_ms=None, answer_age_ms=None, target=None,):
         self.digest = digest
         self.crashed = crashed
         self.alone = alone
         self.verdict = verdict
         self.age_ms = age_ms
         self.running = running
+        self.crash_ages_ms = crash_ages_ms
+        self.answer_age_ms = answer_age_ms
+        self.target = target
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2062,6 +2068,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.crash_ages_ms = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readI32()
+                        self.crash_ages_ms.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.answer_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2079,8 +2105,8 @@
         if self.crashed is not None:
             oprot.writeFieldBegin('crashed', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.crashed))
-            for iter56 in self.crashed:
-                oprot.writeI32(iter56)
+            for iter62 in self.crashed:
+                oprot.writeI32(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.alone is not None:
@@ -2098,10 +2124,25 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.running))
-            for iter57 in self.running:
-                oprot.writeI32(iter57)
+            for iter63 in self.running:
+                oprot.writeI32(iter63)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.crash_ages_ms is not None:
+            oprot.writeFieldBegin('crash_ages_ms', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.crash_ages_ms))
+            for iter64 in self.crash_ages_ms:
+                oprot.writeI32(iter64)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answer_age_ms is not None:
+            oprot.writeFieldBegin('answer_age_ms', TType.I32, 8)
+            oprot.writeI32(self.answer_age_ms)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 9)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2178,21 +2219,21 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.counts = {}
-                    (_ktype59, _vtype60, _size58) = iprot.readMapBegin()
-                    for _i62 in range(_size58):
-                        _key63 = iprot.readI32()
-                        _val64 = iprot.readI32()
-                        self.counts[_key63] = _val64
+                    (_ktype66, _vtype67, _size65) = iprot.readMapBegin()
+                    for _i69 in range(_size65):
+                        _key70 = iprot.readI32()
+                        _val71 = iprot.readI32()
+                        self.counts[_key70] = _val71
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2214,22 +2255,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = RateLimit()
-                        _elem76.read(iprot)
-                        self.limits.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = RateLimit()
+                        _elem83.read(iprot)
+                        self.limits.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Suspect()
-                        _elem82.read(iprot)
-                        self.suspects.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Suspect()
+                        _elem89.read(iprot)
+                        self.suspects.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2263,16 +2304,16 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.counts))
-            for kiter83, viter84 in self.counts.items():
-                oprot.writeI32(kiter83)
-                oprot.writeI32(viter84)
+            for kiter90, viter91 in self.counts.items():
+                oprot.writeI32(kiter90)
+                oprot.writeI32(viter91)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.known))
-            for iter85 in self.known:
-                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
+            for iter92 in self.known:
+                oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.offset is not None:
@@ -2290,15 +2331,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter86 in self.limits:
-                iter86.write(oprot)
+            for iter93 in self.limits:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter87 in self.suspects:
-                iter87.write(oprot)
+            for iter94 in self.suspects:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version is not None:
@@ -2509,15 +2550,15 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.experts = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = []
-                        (_etype97, _size94) = iprot.readListBegin()
-                        for _i98 in range(_size94):
-                            _elem99 = iprot.readI32()
-                            _elem93.append(_elem99)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = []
+                        (_etype104, _size101) = iprot.readListBegin()
+                        for _i105 in range(_size101):
+                            _elem106 = iprot.readI32()
+                            _elem100.append(_elem106)
                         iprot.readListEnd()
-                        self.experts.append(_elem93)
+                        self.experts.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2596,10 +2637,10 @@
         if self.experts is not None:
             oprot.writeFieldBegin('experts', TType.LIST, 14)
             oprot.writeListBegin(TType.LIST, len(self.experts))
-            for iter100 in self.experts:
-                oprot.writeListBegin(TType.I32, len(iter100))
-                for iter101 in iter100:
-                    oprot.writeI32(iter101)
+            for iter107 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter107))
+                for iter108 in iter107:
+                    oprot.writeI32(iter108)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3031,11 +3072,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = RosterItem()
-                        _elem107.read(iprot)
-                        self.items.append(_elem107)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = RosterItem()
+                        _elem114.read(iprot)
+                        self.items.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3056,8 +3097,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter108 in self.items:
-                iter108.write(oprot)
+            for iter115 in self.items:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3209,11 +3250,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = GroupOf()
-                        _elem114.read(iprot)
-                        self.groups.append(_elem114)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = GroupOf()
+                        _elem121.read(iprot)
+                        self.groups.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3230,8 +3271,8 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter115 in self.groups:
-                iter115.write(oprot)
+            for iter122 in self.groups:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3429,6 +3470,9 @@
     (4, TType.I32, 'verdict', None, None, ),  # 4
     (5, TType.I32, 'age_ms', None, None, ),  # 5
     (6, TType.LIST, 'running', (TType.I32, None, False), None, ),  # 6
+    (7, TType.LIST, 'crash_ages_ms', (TType.I32, None, False), None, ),  # 7
+    (8, TType.I32, 'answer_age_ms', None, None, ),  # 8
+    (9, TType.I32, 'target', None, None, ),  # 9
 )
 all_structs.append(Usage)
 Usage.thrift_spec = (
