See that an upstream ended when its connection was closed in order

Cause: only exchanges that end with an error of the connection were checked for a crash. A stream that ended with a piece of an event was reported as malformed, by a path without the check. The end of a connection was taken for the end of an answer with neither a length nor chunks, also where no event had come, and it cleared the request by its own crash.

Change: a stream that ends inside an event, or in the close of its connection before the first event, counts as broken off ("lost", no longer "garbled"), like all answers that end before their length. The end of such an answer by a close is delivered, clears nothing, and is checked for a crash.

--- a/features/steps/platform_answers_steps.py
+++ b/features/steps/platform_answers_steps.py
@@ -121,6 +121,13 @@
     assert clients.events(text) == fleet.STREAM, text
 
 
+@then("the stream has the first {count:d} events alone and is complete")
+def _(context, count):
+    assert context.answer.status_code == 200, context.answer
+    text = context.answer.text
+    assert clients.events(text) == fleet.STREAM[:count], text
+
+
 @then("the head is from the first worker")
 def _(context):
     runs = context.cluster.runs_of(context.id)
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -36,8 +36,12 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+# Error code of an exchange whose connection ended before its answer did.
+LOST = "lost"
 # Error code of an exchange whose connection stopped responding.
 UNRESPONSIVE = "silent"
+# Answers with these statuses never have a body.
+NO_BODY_STATUSES = frozenset((204, 304))
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -106,6 +110,8 @@
       watched: Whether the monitor may abort an unresponsive exchange.
       started_at: Monotonic seconds at which the exchange began.
       answer_started: Whether any byte of the answer was received.
+      ended_by_close: Whether the answer has neither a length nor chunks, so
+        that the end of the connection ends it.
     """
 
     def __init__(
@@ -121,6 +127,7 @@
         self.started_at = self.opened_at
         self.watched = False
         self.answer_started = False
+        self.ended_by_close = False
         self.idle_since = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.used = 0
@@ -191,6 +198,7 @@
         if not isinstance(event, h11.Response):
             raise self._garbled()
         head = Head(event.status_code, event.headers.raw_items())
+        self.ended_by_close = _is_unframed(head)
         self._read_keep_alive(head)
         return head
 
@@ -209,7 +217,7 @@
             return None
         raise self._garbled()
 
-    def abort(self, code: str = "lost") -> None:
+    def abort(self, code: str = LOST) -> None:
         """Reset the connection; fail the exchange with a code."""
         if self._lost is None:
             self._fail(code)
@@ -232,9 +240,9 @@
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Handle the close; a clean one ends an answer without a length."""
         if self._lost is None and reason.check(error.ConnectionDone):
-            self._feed(b"")
+            self._feed(b"", code=LOST)
         if self._lost is None:
-            self._fail("lost")
+            self._fail(LOST)
         self._on_lost(self)
 
     def _start_watch(self) -> None:
@@ -263,12 +271,13 @@
         if timer is not None and timer.active():
             timer.cancel()
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes, code: str = "garbled") -> None:
+        """Parse bytes; fail with the code if they are no valid HTTP."""
         try:
             self._http.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError:
-            self._fail("garbled")
+            self._fail(code)
             if self.transport is not None:
                 self.transport.abortConnection()
 
@@ -335,3 +344,11 @@
     def _garbled(self) -> ExchangeError:
         self.abort()
         return ExchangeError("garbled", peer=self.address, written=True)
+
+
+def _is_unframed(head: Head) -> bool:
+    """Return whether an answer ends with its connection."""
+    if head.status in NO_BODY_STATUSES:
+        return False
+    coding = head.get(b"transfer-encoding")
+    return head.get(b"content-length") is None and coding is None
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -124,7 +124,11 @@
         await _relay_body(active, head)
     active.record_answer()
     context.record_success(active.name, view=active.request.view)
-    context.suspects.record_success(active.request)
+    if active.conn.ended_by_close:
+        # The end of the connection may also be that of the upstream.
+        active.record_lost()
+    else:
+        context.suspects.record_success(active.request)
     taken_s = context.clock.monotonic() - began
     context.membership.record_answer_time(active.request.target, taken_s)
 
@@ -256,7 +260,10 @@
             events=out.events,
             bytes=len(cutter.pending),
         )
-        raise _garbled(active)
+        raise _broken_off(active)
+    if active.conn.ended_by_close and not active.answered:
+        # A stream without an event is no answer; its upstream has ended.
+        raise _broken_off(active)
     if not out.begun:
         out.begin(head.status, head.headers)
     out.finish()
@@ -298,6 +305,14 @@
     return now
 
 
+def _broken_off(active: ActiveAttempt) -> connection.ExchangeError:
+    """Abort the connection; return the error of an unfinished stream."""
+    active.conn.abort()
+    return connection.ExchangeError(
+        connection.LOST, peer=active.upstream.address, written=True
+    )
+
+
 def _garbled(active: ActiveAttempt) -> attempt.AttemptLostError:
     """Abort the connection; return the error of a malformed stream."""
     active.conn.abort()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -282,13 +282,16 @@
         ids: Callable[[int], int] = lambda n: n,
         end: Callable[["Channel"], None] | None = None,
         gap_s: float = EVENT_GAP_S,
+        framed: bool = True,
     ) -> None:
-        """Write a stream of events, from the one after the caller's last."""
+        """Write a stream of events, from the one after the caller's last.
+
+        A stream that is not framed ends with its connection.
+        """
         start = int(self.header("last-event-id") or 0)
-        more = [
-            ("Content-Type", "text/event-stream"),
-            ("Transfer-Encoding", "chunked"),
-        ]
+        more = [("Content-Type", "text/event-stream")]
+        if framed:
+            more.append(("Transfer-Encoding", "chunked"))
         self.transport.write(self.head_lines(200, more))
         self.streaming = self.header("request-id")
 
@@ -304,7 +307,9 @@
                 self.next()
                 return
             event = f"id: {ids(number)}\ndata: e{number}\n\n".encode()
-            self.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
+            if framed:
+                event = b"%x\r\n%b\r\n" % (len(event), event)
+            self.transport.write(event)
             reactor.callLater(gap_s, piece, number + 1)
 
         if self.worker.prefill_s:
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -67,6 +67,22 @@
     channel.transport.loseConnection()
 
 
+def _close(channel: Channel) -> None:
+    channel.transport.loseConnection()
+
+
+def _close_inside_event(channel: Channel) -> None:
+    channel.transport.write(b"id: 4\nda")
+    channel.transport.loseConnection()
+
+
+def _unframed_stream(
+    *, last: int, end: Callable[[Channel], None] = _close
+) -> Callable[[Channel], None]:
+    """Return what sends a stream that ends with its connection."""
+    return lambda channel: channel.stream(last=last, end=end, framed=False)
+
+
 def _short(channel: Channel) -> None:
     """Send less than was announced."""
     more = [("Content-Length", "500")]
@@ -145,6 +161,10 @@
     "cut": lambda channel: channel.stream(last=3, end=_abort),
     "cut-mute": _cut_mute,
     "torn": lambda channel: channel.stream(last=3, end=_torn),
+    "open": _unframed_stream(last=6),
+    "open-torn": _unframed_stream(last=3, end=_close_inside_event),
+    "open-empty": _unframed_stream(last=0),
+    "open-short": _unframed_stream(last=3),
     "gap": lambda channel: channel.stream(ids=lambda n: n if n < 3 else n + 1),
     "slow": lambda channel: channel.stream(gap_s=0.4),
     "large": lambda channel: channel.whole(b"x" * 1_000_000),
