Do not take a body that ends with its connection for proof of life

Found by reading the answers of a kind with neither length nor chunks again: half a body and an orderly close of the connection counted as a whole answer, which cleared the parts of its request, by its own crash.

Change: such an end is delivered as before, but only an event, or an answer whose framing shows its end, clears parts.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -18,3 +18,4 @@
       | first  | half an event and an orderly close         |
       | middle | the head of an answer and an orderly close |
       | middle | an orderly close without a byte            |
+      | middle | half a body and an orderly close           |
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -37,8 +37,8 @@
       conn: The connection, used by this attempt only until it ends.
       upstream: The upstream.
       abort_code: Error code with which it was aborted, empty if it was not.
-      answered: Whether the upstream has begun to answer: a whole event, or
-        the whole of an answer that is no stream.
+      answered: Whether the upstream has proved to live while it answers: by a
+        whole event, or by the whole of an answer whose framing shows its end.
     """
 
     request: call.Call
@@ -122,12 +122,12 @@
         await _relay_events(active, head)
     else:
         await _relay_body(active, head)
-    active.record_answer()
     context.record_success(active.name, view=active.request.view)
     if active.conn.ended_by_close:
         # The end of the connection may also be that of the upstream.
         active.record_lost()
     else:
+        active.record_answer()
         context.suspects.record_success(active.request)
     taken_s = context.clock.monotonic() - began
     context.membership.record_answer_time(active.request.target, taken_s)
--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -48,6 +48,12 @@
     return True
 
 
+def _close_inside_body(channel: Channel) -> bool:
+    more = [("Content-Type", "application/json")]
+    channel.transport.write(channel.head_lines(200, more) + b'{"half')
+    return True
+
+
 def _close_after_head(channel: Channel) -> bool:
     channel.transport.write(channel.head_lines(200, [EVENTS]))
     return True
@@ -63,6 +69,7 @@
     "the head of an answer and a reset": _reset_after_head,
     "a reset without a byte": _reset,
     "half an event and an orderly close": _close_inside_event,
+    "half a body and an orderly close": _close_inside_body,
     "the head of an answer and an orderly close": _close_after_head,
     "an orderly close without a byte": _close,
 }
