Count answers at all entries as contrast, not three at one

The contrast asked for three answers seen by one entry since the part's first crash, so the part would have crashed more upstreams than needed before any entry had seen them.

Change: an answer that began at any entry since the first crash is contrast, as it is told in the rows of the parts that it cleared; the counter is gone.

The check that it is convicted asks for an answer between the first and the fifth crash; the bound of three late requests is checked everywhere.

--- a/features/part_suspicion.feature
+++ b/features/part_suspicion.feature
@@ -3,7 +3,7 @@
   Scenario: Sound requests share parts with crashing ones, and upstreams crash for other reasons
     When 30 traces of requests with a part that crashes upstreams are replayed
     Then at most 3 requests with the part are sent later than 3 s after the fifth crash
-    And the part is convicted wherever it has crashed five upstreams
+    And the part is convicted wherever it has crashed five upstreams and others were answered meanwhile
     And no sound request is refused
 
   Scenario Outline: The replay of parts finds a fault in <fault>
@@ -31,6 +31,12 @@
     When a part is unanswered at 8 crashes, 1 s apart, and no answer begins
     Then requests with the part are admitted
 
+  Scenario: One answer at another entry is contrast enough
+    When a part is unanswered at 2 crashes, 4 s apart, and no answer begins
+    And another entry begins one answer to a request that shared a crash with it
+    And it is unanswered at 1 more crashes, 4 s apart, without an answer here
+    Then requests with the part are refused
+
   Scenario: An answer that begins clears a convicted part
     Given a convicted part
     When an answer to a request with it begins
--- a/packages/reelscale-core/src/reelscale_core/part_suspicion.py
+++ b/packages/reelscale-core/src/reelscale_core/part_suspicion.py
@@ -26,10 +26,6 @@
 CONVICTED_AFTER = 3
 # The same for a part with which answers had begun before.
 ANSWERED_CONVICTED_AFTER = 5
-# Answers of the same target to requests without a part that must have begun
-# since its first crash; if none begin, the upstreams may fail for another
-# reason.
-MIN_OTHER_ANSWERS = 3
 # Time for which requests with a convicted part are refused.
 REJECTED_S = 300.0
 # Time after which a record without news expires.  A conviction that was
@@ -68,8 +64,6 @@
       answered_at: Monotonic time in seconds at which an answer to a request
         with it began, -inf for never.
       convicted_at: Monotonic time in seconds of its conviction, if it is.
-      other_answers: Answers to requests without it that this entry has seen
-        begin since the first crash.
       updated_at: Monotonic time in seconds of the newest change.
     """
 
@@ -77,7 +71,6 @@
     crashes: tuple[Crash, ...] = ()
     answered_at: float = float("-inf")
     convicted_at: float | None = None
-    other_answers: int = 0
     updated_at: float = 0.0
 
     @property
@@ -100,10 +93,12 @@
     """Answers to requests with a part that have begun.
 
     Attributes:
+      target: Hash of the target of the requests.
       count: Their number.
       at: Monotonic time in seconds of the newest.
     """
 
+    target: int
     count: int
     at: float
 
@@ -135,7 +130,6 @@
         crashes=unanswered,
         answered_at=answered_at,
         convicted_at=max(convictions, default=None),
-        other_answers=old.other_answers if unanswered else 0,
         updated_at=max(old.updated_at, new.updated_at),
     )
 
@@ -172,7 +166,7 @@
         """Record an answer that begins; return the parts that it clears."""
         cleared = []
         for number in digests:
-            self._remember_answer(number, now)
+            self._remember_answer(number, target, now)
             record = self.by_digest.get(number)
             if record is None:
                 continue
@@ -181,7 +175,6 @@
                 cleared.append(number)
                 news = news._replace(updated_at=now)
             self.by_digest[number] = merged(record, news)
-        self._count_other_answer(frozenset(digests), target)
         return cleared
 
     def merge(self, number: int, news: Record, now: float) -> list[int]:
@@ -213,7 +206,7 @@
         record = self.by_digest.get(number)
         if record is None or not record.crashes:
             return False
-        return number not in self._answered
+        return not self._was_answered(number)
 
     def answers(self, number: int) -> int:
         """Return how many answers to requests with a part have begun."""
@@ -231,23 +224,13 @@
                 break
             del self._answered[number]
 
-    def _remember_answer(self, number: int, now: float) -> None:
-        self._answered[number] = Answered(self.answers(number) + 1, now)
+    def _remember_answer(self, number: int, target: int, now: float) -> None:
+        count = self.answers(number) + 1
+        self._answered[number] = Answered(target, count, now)
         self._answered.move_to_end(number)
         while len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
 
-    def _count_other_answer(
-        self, present: frozenset[int], target: int
-    ) -> None:
-        """Count an answer as evidence against the parts not present."""
-        for number, record in self.by_digest.items():
-            if record.target != target or number in present:
-                continue
-            if record.crashes:
-                count = record.other_answers + 1
-                self.by_digest[number] = record._replace(other_answers=count)
-
     def _merge(self, number: int, news: Record) -> None:
         """Merge news of a part, most recent last; evict beyond the bound."""
         answered = self._answered.get(number)
@@ -306,11 +289,36 @@
             return any(crash.at > served_at for crash in record.crashes)
         needed = (
             ANSWERED_CONVICTED_AFTER
-            if number in self._answered
+            if self._was_answered(number)
             else CONVICTED_AFTER
         )
-        contrast = record.other_answers >= MIN_OTHER_ANSWERS
-        return contrast and record.episodes >= needed
+        return record.episodes >= needed and self._others_answered(record)
+
+    def _was_answered(self, number: int) -> bool:
+        """Return whether an answer to a request with a part ever began."""
+        if number in self._answered:
+            return True
+        record = self.by_digest.get(number)
+        return record is not None and record.answered_at > float("-inf")
+
+    def _others_answered(self, record: Record) -> bool:
+        """Return whether answers have begun since a part's first crash.
+
+        They are to requests without the part, as one with it would have
+        cleared it.  If none begin, upstreams may fail for another reason.
+        """
+        since = record.crashes[0].at
+        if any(
+            other.target == record.target and other.answered_at > since
+            for other in self.by_digest.values()
+        ):
+            return True
+        for answered in reversed(self._answered.values()):
+            if answered.at <= since:
+                return False
+            if answered.target == record.target:
+                return True
+        return False
 
     def _explain(self, number: int) -> None:
         """Remove the crashes of a convicted part from all other records."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
@@ -367,7 +367,6 @@
                 part=names.get(digest, ""),
                 crashed=[crash.start for crash in record.crashes],
                 answers=self._parts.answers(digest),
-                other_answers=record.other_answers,
                 kept_s=part_suspicion.REJECTED_S,
             )
 
