--- a/packages/reelscale-core/src/reelscale_core/outage.py
+++ b/packages/reelscale-core/src/reelscale_core/outage.py
@@ -13,9 +13,11 @@
 
 # Upstreams that must refuse in a row; a single one may be full or leaving.
 MIN_REFUSALS = 3
-# Well below Retry-After, so that recovery is detected before clients retry.
+# A tenth of the usual Retry-After, so that recovery is detected well before
+# most clients retry.
 PROBE_INTERVAL_S = 0.25
-# Retry-After as a fraction of the time remaining until the deadline.
+# Retry-After as a fraction of the time remaining until the deadline.  A caller
+# returns once; the later it does, the likelier the group is back.
 MAX_WAIT_FRACTION = 0.33
 
 
--- a/packages/reelscale-core/src/reelscale_core/pace.py
+++ b/packages/reelscale-core/src/reelscale_core/pace.py
@@ -36,7 +36,8 @@
 # held or a rank was unresponsive.
 STALL_FACTOR = 3.0
 # Samples are clipped at this many times the mean, so that an outlier after a
-# stall does not dominate the peak estimate.
+# stall does not dominate the peak estimate.  The pass after a stall is long,
+# too.
 CLIP_FACTOR = 2.5
 # Consecutive passes that are too long to be a stall; they are not clipped.
 SLOW_PASSES = 3
@@ -48,6 +49,7 @@
 RECOVERED_SHARE = 0.5
 # Pauses at a lower utilization are not extrapolated to a full group.
 MIN_USED = 0.15
+# With fewer requests it is no longer their number that makes passes slow.
 MIN_LIMIT = 0.2
 
 
--- a/packages/reelscale-core/src/reelscale_core/relayout.py
+++ b/packages/reelscale-core/src/reelscale_core/relayout.py
@@ -25,7 +25,8 @@
 from . import rank as ranks
 
 # Minimum distance of the step to change at from the latest begun step: the
-# next step may begin while the hold is in flight, the one after does not.
+# next step may begin while the hold is in flight, the one after does not in
+# the few milliseconds that it takes.
 MARGIN_STEPS = 2
 
 
--- a/packages/reelscale-core/src/reelscale_core/replicas.py
+++ b/packages/reelscale-core/src/reelscale_core/replicas.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 # Experts of the most loaded rank, and ranks to place them on, that are tried
-# for each replica.
+# for each replica.  Trying more finds nothing better.
 EXPERTS_TRIED = 4
 RANKS_TRIED = 4
 # Returned instead of an expert where a rank has a free place.
--- a/packages/reelscale-core/src/reelscale_core/starts.py
+++ b/packages/reelscale-core/src/reelscale_core/starts.py
@@ -16,7 +16,8 @@
 
 from .announcement import Announcement, Item
 
-# Three heartbeats of 1.2 s, after which the platform also removes a start.
+# Three heartbeats of 1.2 s, after which the platform also removes a start.  A
+# live start that is contradicted announces itself again within one heartbeat.
 CONTENTION_S = 4.0
 # Bounds memory if a writer invents ids; far above the size of a platform.
 MAX_UPSTREAMS = 4096
--- a/packages/reelscale-core/src/reelscale_core/suspicion.py
+++ b/packages/reelscale-core/src/reelscale_core/suspicion.py
@@ -24,7 +24,7 @@
 # The same if no other request was running at any of the crashes.
 SOLE_REQUEST_CONVICTED_AFTER = 2
 # Time from the last update until a record expires; bounds the effect of a
-# wrong conviction.
+# wrong conviction.  Callers retry within seconds.
 RETENTION_S = 300.0
 # Each record takes some hundred bytes; a crash adds one for each request in
 # progress.
--- a/packages/reelscale-core/src/reelscale_core/waiting.py
+++ b/packages/reelscale-core/src/reelscale_core/waiting.py
@@ -3,7 +3,8 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-# Fraction of the latency goal that may be spent in the queue.
+# Fraction of the latency goal that may be spent in the queue; the rest is for
+# the work itself.
 QUEUE_TIME_SHARE = 0.3
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -33,6 +33,7 @@
 
 LOG = logs.Logger("directory")
 # Interval between reads of the list, in seconds, at the first entries by name.
+# Many upstreams start or leave together, and each read costs a call.
 # Where heartbeats are records, every read returns some, so not all entries
 # read this often.
 POLL_INTERVAL_S = 0.3
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/follower.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/follower.py
@@ -23,7 +23,7 @@
 FAULT_PAUSE_S = 0.25
 MAX_FAULT_PAUSE_S = 5.0
 # A loop that has had only unexpected errors for this long, in seconds, makes
-# its process not ready.
+# its process not ready: the loops of other processes may still succeed.
 STUCK_S = 10.0
 # Characters of the traceback's end that are logged.
 MAX_TRACEBACK_LENGTH = 1500
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/lease_keeper.py
@@ -31,10 +31,11 @@
 # when the group forms anew.
 NON_CANDIDATE_POLL_S = 2.0
 # A rank that stays in one step of a change for this long, in seconds, waits
-# for a holder that has departed; a step takes about 0.1 s.
+# for a holder that has departed; a step takes about 0.1 s, a whole change some
+# 0.05 s more.
 STALL_TIMEOUT_S = 0.5
 # Added for each further candidate, in seconds, so that the previous one can
-# complete the change first.
+# complete the change first, in some 0.5 s where a box is unresponsive.
 STALL_TIMEOUT_STEP_S = 0.7
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/rank_reports.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/rank_reports.py
@@ -17,7 +17,8 @@
 from ..adapters import base
 from . import members, reach
 
-# Half-life of the weight of observed demand; some 20 prompts arrive in it.
+# Half-life of the weight of observed demand; some 20 prompts arrive in it,
+# enough to tell the present demand.
 HALF_LIFE_S = 0.5
 # A change that reduces the mean skew by less than this fraction is not made.
 MIN_IMPROVEMENT = 0.12
@@ -30,7 +31,7 @@
 # seconds: groups form anew when a rank departs.
 REQUERY_INTERVAL_S = 2.0
 # Upper bound on the time that a rank spends loading for one change; demand
-# shifts every few seconds.
+# shifts every few seconds, and a few loads gain most of what there is.
 MAX_LOADING_S = 0.5
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/reach.py
@@ -20,12 +20,13 @@
 
 LOG = logs.Logger("reach")
 # An agent that does not answer within this time, including the connection
-# setup, counts as unresponsive.
+# setup, counts as unresponsive.  The round trip takes 3 ms, and the agent
+# gives its rank 0.06 s.
 TIMEOUT_S = 0.25
 # Interval between queries of an unresponsive agent, in seconds.
 REQUERY_INTERVAL_S = 0.5
-# Reports to other boxes may be some hundred milliseconds old.  Delaying the
-# query by this time ensures that the answer is no older than the request.
+# Reports to other boxes are some 0.2 s old.  Delaying the query by this time
+# ensures that the answer is no older than the request.
 REPORT_LAG_S = 0.3
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
@@ -30,7 +30,8 @@
 
 LOG = logs.Logger("suspects")
 # Delay in seconds from a lost exchange to the crash check, so that the other
-# connections of a crashed upstream are closed by then.
+# connections of a crashed upstream are closed by then: they break within some
+# milliseconds, and the upstream is down for seconds.
 CRASH_CHECK_DELAY_S = 0.05
 # Delays in seconds of further checks of an upstream that seemed to be alive:
 # it may close the connection of a request some time before the others.
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -23,7 +23,9 @@
 from . import follower
 
 LOG = logs.Logger("usage")
-# Delay in seconds before a change is sent, which batches further changes.
+# Delay in seconds before a change is sent, which batches further changes:
+# twice the delay between halls, and a tenth of the time that a request for a
+# model may wait at an entry.
 SEND_DELAY_S = 0.02
 # Additional delay in seconds for each other entry, so that the total traffic
 # grows with the number of entries and not with its square.
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/view.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/view.py
@@ -11,9 +11,11 @@
 
 from reelscale_core import announcement, circuit, routing
 
-# Seconds after which a reported load is ignored.
+# Seconds after which a reported load is ignored; a request of a stream takes
+# about that long.
 LOAD_EXPIRY_S = 1.0
-# Seconds for which an upstream ranks behind others after it refused a request.
+# Seconds for which an upstream ranks behind others after it refused a request;
+# a slot of a busy group is free again within about that time.
 REFUSAL_PENALTY_S = 0.5
 # Cost of one more request in progress, in milliseconds of network distance.
 SLOT_COST_MS = 40.0
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/liveness.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/liveness.py
@@ -15,7 +15,8 @@
 
 from reelscale_core import clock
 
-# Minimum time-out for the first byte of an answer on a reused connection.
+# Minimum time-out for the first byte of an answer on a reused connection;
+# clients wait as long for an entry that takes no request.
 MIN_FIRST_BYTE_TIMEOUT_S = 1.0
 # The time-out is this multiple of the third quartile of a peer's recent
 # first-byte times; the maximum would let one outlier disable detection.
