Ask another entry for the groups before the agents

Agents were queried by two entries where one would do: the entry that was first until another with a lower name started, and that other one.

Cause: the first entry by name always queries the agents, also when it has just started and another entry knows all groups. Seen while testing: an entry whose settings name no others could not ask any, though it hears them in datagrams; its list of addresses for calls came from the settings alone.

Ruled out: that a later delay of the first round is enough; an entry that starts alone must query the agents in any case.

Change: an entry that knows no group yet asks another one first, at the address that its datagrams name, and the agents for what is missing.

--- a/features/entry_groups.feature
+++ b/features/entry_groups.feature
@@ -27,3 +27,10 @@
     Given 2 groups of ranks with agents and 2 entries
     Then both entries know the group of every rank within 20 s
     And only one entry has queried the agents
+
+  Scenario: An entry that starts asks another entry before the agents
+    Given 2 groups of ranks with agents and 2 entries
+    Then both entries know the group of every rank within 20 s
+    When the first entry by name is killed and the other queries the agents
+    And the first entry by name starts again
+    Then it learns every group before it queries the agents
--- a/features/steps/entry_groups_steps.py
+++ b/features/steps/entry_groups_steps.py
@@ -180,3 +180,47 @@
         )
     ]
     assert len(querying) == 1, querying
+
+
+def _queries(made, name, since=0):
+    rows = made.log_lines(name)[since:]
+    text = "Querying agents for their groups."
+    return [number for number, row in enumerate(rows) if row["text"] == text]
+
+
+@when("the first entry by name is killed and the other queries the agents")
+def _(context):
+    made = context.cluster
+    first, other = sorted(made.http)
+    made.processes[first].kill()
+    before = len(_queries(made, other))
+    wait_for(
+        lambda: len(_queries(made, other)) > before,
+        "the other entry to query the agents",
+        30.0,
+    )
+
+
+@when("the first entry by name starts again")
+def _(context):
+    made = context.cluster
+    first = min(made.http)
+    context.first = first
+    context.lines_before = len(made.log_lines(first))
+    made.processes[first].start()
+    made.wait_ready(first)
+
+
+@then("it learns every group before it queries the agents")
+def _(context):
+    made = context.cluster
+    text = "Learned the group of an upstream."
+
+    def learned():
+        rows = made.log_lines(context.first)[context.lines_before :]
+        places = [n for n, row in enumerate(rows) if row["text"] == text]
+        return places if len(places) >= len(made.workers) else None
+
+    places = wait_for(learned, "the groups", 20.0)
+    queries = _queries(made, context.first, context.lines_before)
+    assert not queries or queries[0] > places[-1], (queries, places)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/groups.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/groups.py
@@ -111,7 +111,7 @@
         for number in self._group_by_start.keys() - ranks.keys():
             del self._group_by_start[number]
         if self._place() == 0:
-            await self._query_agents(ranks)
+            await self._query_first(ranks)
         else:
             await self._query_peer(ranks.keys())
             missing = ranks.keys() - self._group_by_start.keys()
@@ -124,6 +124,21 @@
         pause_s = KNOWN_INTERVAL_S if known else UNKNOWN_INTERVAL_S
         return pause_s * (0.75 + random.random() / 2)
 
+    async def _query_first(
+        self, ranks: dict[int, announcement.Announcement]
+    ) -> None:
+        """Query the agents, as the first entry by name does.
+
+        An entry that has just started asks another one before, which may
+        have been the first until then.
+        """
+        if self._group_by_start:
+            await self._query_agents(ranks)
+            return
+        await self._query_peer(ranks.keys())
+        missing = ranks.keys() - self._group_by_start.keys()
+        await self._query_agents({n: ranks[n] for n in missing})
+
     async def _on_down(self, _down: error.CodedError) -> float:
         """Return the pause; no call of a round raises this error."""
         return UNKNOWN_INTERVAL_S
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -65,6 +65,7 @@
       counts: Requests in progress by hash of an upstream.
       received_at: Monotonic seconds at which it was received.
       address: Its source address.
+      peer: Its address for calls.
     """
 
     name: str
@@ -73,6 +74,7 @@
     counts: Mapping[int, int]
     received_at: float
     address: str
+    peer: str
 
 
 class Updates(Protocol):
@@ -184,6 +186,11 @@
         """Return the progress of the sending loop."""
         return self._loop.progress
 
+    @property
+    def peers(self) -> frozenset[str]:
+        """Return the addresses for calls of the entries heard lately."""
+        return frozenset(peer.peer for peer in self._peers.values())
+
     @property
     def place(self) -> int:
         """Return the position of this entry among the live ones, by name."""
@@ -226,6 +233,7 @@
             counts=message.counts,
             received_at=self._clock.monotonic(),
             address=address[0],
+            peer=message.peer,
         )
         self._received_at_by_name[message.name] = self._clock.monotonic()
         self._update_entries()
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -97,7 +97,7 @@
             ),
             links=self._base.links,
             agent_port=settings.agent_port,
-            peers=lambda: self._base.config.peers,
+            peers=self._known_peers,
             poll_s=self._poll_s,
             watches=self._watches,
             name=settings.name,
@@ -145,6 +145,10 @@
         """Return how long the next read of the log waits there."""
         return config.POLL_S if self._watches() else LONG_POLL_S
 
+    def _known_peers(self) -> frozenset[str]:
+        """Return the entries of the settings and those heard lately."""
+        return self._usage.peers.union(self._base.config.peers)
+
     def _watches(self) -> bool:
         """Tell whether this entry is one of those that read often."""
         return self._usage.place < WATCHERS
