Split the checks for crashes and the suspected parts out of the suspects

Checks of upstreams whose exchanges were lost, and the parts of prompts, have modules of their own; no logic changes.

The replay's planted fault in clearing was not found once contrast counted answers of all entries: the second path to clear, from what was remembered of answers, made up for it, and sound parts stand at fewer crashes in 40 s than convict one that was answered before. Its row is replaced by one for a fault in recording answers, and a scenario of its own checks that a part which is answered between crashes is never convicted.

--- a/features/models/suspect_parts.py
+++ b/features/models/suspect_parts.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from reelscale_core import announcement, clock
-from reelscale_daemon.controllers import suspects
+from reelscale_daemon.controllers import crash_checks, suspects
 from reelscale_daemon.filters import call
 from reelscale_wire.gen import ttypes
 
@@ -285,7 +285,7 @@
         upstream.starts += 1
         for entry in self.entries:
             losses = [
-                suspects.Loss(item.request, len(lost), item.answered)
+                crash_checks.Loss(item.request, len(lost), item.answered)
                 for item in lost
                 if item.entry is entry
             ]
--- a/features/models/suspects.py
+++ b/features/models/suspects.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from reelscale_core import announcement, clock, routing, suspicion
-from reelscale_daemon.controllers import suspects
+from reelscale_daemon.controllers import crash_checks, suspects
 from reelscale_daemon.filters import call
 from reelscale_wire.gen import ttypes
 
@@ -230,7 +230,7 @@
             self._end(item)
         for entry in self.entries:
             losses = [
-                suspects.Loss(item.request, len(running))
+                crash_checks.Loss(item.request, len(running))
                 for item in running
                 if item.entry is entry
             ]
--- a/features/part_suspicion.feature
+++ b/features/part_suspicion.feature
@@ -14,7 +14,11 @@
       | fault                            |
       | charging parts                   |
       | sharing records                  |
-      | clearing by answers              |
+      | recording answers                |
+
+  Scenario: A part that is answered between crashes is never convicted
+    When a part is unanswered at 20 crashes, 1 s apart, and answered in between
+    Then requests with the part were admitted all the time
 
   Scenario: Processes that end together do not convict what ran there
     When a part is unanswered at 16 crashes within 0.4 s while other answers begin
--- a/features/steps/part_suspicion_steps.py
+++ b/features/steps/part_suspicion_steps.py
@@ -9,7 +9,11 @@
 
 from behave import given, then, when
 from reelscale_core import announcement, clock, error, part_suspicion
-from reelscale_daemon.controllers import suspects
+from reelscale_daemon.controllers import (
+    crash_checks,
+    suspect_parts,
+    suspects,
+)
 from reelscale_daemon.filters import call, suspect
 from reelscale_platform import ingress
 from reelscale_wire.gen import ttypes
@@ -27,22 +31,23 @@
     """Ignore the records of other entries."""
 
 
-def _keep_records(self, digests, *, target, now):
-    """Remember an answer without clearing the parts of its request."""
-    for number in digests:
-        self._remember_answer(number, target, now)
+def _ignore_answer(self, digests, *, target, now):
+    """Neither clear the parts of an answered request nor remember it."""
     return []
 
 
-PARTS = part_suspicion.Parts
 FAULTS = {
     "charging parts": (
-        suspects.Suspects,
-        "_charge_parts",
+        suspect_parts.SuspectParts,
+        "charge",
         lambda self, crash, unanswered, now: [],
     ),
     "sharing records": (suspects.Suspects, "apply", _ignore_peers),
-    "clearing by answers": (PARTS, "record_answer", _keep_records),
+    "recording answers": (
+        part_suspicion.Parts,
+        "record_answer",
+        _ignore_answer,
+    ),
 }
 
 
@@ -134,7 +139,7 @@
 
 def _crash(context, *requests):
     start = announcement.Start(f"u{next(context.numbers)}", None)
-    losses = [suspects.Loss(request, 3) for request in requests]
+    losses = [crash_checks.Loss(request, 3) for request in requests]
     context.suspects._record_crash(start, losses)
 
 
@@ -232,6 +237,21 @@
     _crash_apart(context, count, gap_s, others=False)
 
 
+@when(
+    "a part is unanswered at {count:d} crashes, {gap_s:g} s apart, and "
+    "answered in between"
+)
+def _(context, count, gap_s):
+    _make(context)
+    context.refused_s = 0.0
+    for _ in range(count):
+        _crash_apart(context, 1, gap_s / 2, others=True)
+        left_s = context.suspects.convicted_s(_request(context, PART))
+        context.refused_s = max(context.refused_s, left_s)
+        context.suspects.record_answer(_request(context, PART))
+        context.clock.advance(gap_s / 2)
+
+
 @when("an answer to a request with it begins")
 def _(context):
     context.other = _controller(context)
@@ -264,6 +284,11 @@
     assert context.suspects.convicted_s(_request(context, PART)) == 0
 
 
+@then("requests with the part were admitted all the time")
+def _(context):
+    assert context.refused_s == 0
+
+
 @then("requests with the part are refused")
 def _(context):
     assert context.suspects.convicted_s(_request(context, PART)) > 0
--- a/features/steps/suspects_steps.py
+++ b/features/steps/suspects_steps.py
@@ -8,7 +8,11 @@
 
 from behave import given, then, when
 from reelscale_core import announcement, clock, suspicion
-from reelscale_daemon.controllers import crash_evidence, suspects
+from reelscale_daemon.controllers import (
+    crash_checks,
+    crash_evidence,
+    suspects,
+)
 from twisted.internet import defer, error, protocol, task
 
 from features.models import suspects as model
@@ -146,7 +150,7 @@
         lambda *_, **__: endpoint,
     ):
         context.suspects.record_lost(context.asked, upstream, running=3)
-        reactor.advance(suspects.CRASH_CHECK_DELAY_S)
+        reactor.advance(crash_checks.CRASH_CHECK_DELAY_S)
 
 
 @then("its requests are {verdict}")
@@ -169,7 +173,7 @@
 
 def _crash_as_sole_request(context, number):
     start = announcement.Start(f"u{number}", None)
-    losses = [suspects.Loss(context.asked, 1)]
+    losses = [crash_checks.Loss(context.asked, 1)]
     context.suspects._record_crash(start, losses)
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/suspects.py
@@ -1,17 +1,16 @@
 """Identifies requests that crash upstreams, jointly with other entries.
 
-Whether an upstream has crashed is determined in crash_evidence.py.  Which of
-its requests are suspected or convicted is decided in core/suspicion.py, and
-which parts of their prompts in core/part_suspicion.py.
+Whether an upstream has crashed is determined in crash_checks.py.  Which of its
+requests are suspected or convicted is decided in core/suspicion.py; the parts
+of their prompts are in suspect_parts.py.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
 import collections
-import dataclasses
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from reelscale_core import (
     announcement,
@@ -22,54 +21,12 @@
     suspicion,
 )
 from reelscale_wire.gen import ttypes
-from twisted.internet import defer, task
 
 from .. import logs
 from ..filters import call
-from . import crash_evidence, suspect_rows
+from . import crash_checks, crash_evidence, suspect_parts, suspect_rows
 
 LOG = logs.Logger("suspects")
-# Delay in seconds from a lost exchange to the crash check, so that the other
-# connections of a crashed upstream are closed by then: they break within some
-# milliseconds, and the upstream is down for seconds.
-CRASH_CHECK_DELAY_S = 0.05
-# Delays in seconds of further checks of an upstream that seemed to be alive:
-# it may close the connection of a request some time before the others.
-LATER_CHECK_DELAYS_S = (0.25, 0.7)
-ALIVE = frozenset(
-    (crash_evidence.Finding.CONNECTED, crash_evidence.Finding.ACCEPTS)
-)
-# Maximum wait of a retry for the first check, in seconds.
-RETRY_WAIT_S = 0.2
-
-
-class Loss(NamedTuple):
-    """A request whose exchange broke before its answer was complete.
-
-    Attributes:
-      request: The request.
-      running: Requests in progress there from all entries, as far as known.
-      answered: Whether the upstream had begun to answer it.
-    """
-
-    request: call.Call
-    running: int
-    answered: bool = False
-
-
-@dataclasses.dataclass(kw_only=True)
-class Check:
-    """A check for a crash that is in progress.
-
-    Attributes:
-      lost_at: Monotonic seconds at which the first exchange was lost.
-      losses: The exchanges lost so far.
-      waiters: Fire after the first look.
-    """
-
-    lost_at: float
-    losses: list[Loss] = dataclasses.field(default_factory=list)
-    waiters: list[defer.Deferred] = dataclasses.field(default_factory=list)
 
 
 class Suspects:
@@ -95,15 +52,20 @@
           evidence: Determines whether a start has crashed.
           on_update: Called when a change is to be sent to other entries.
         """
-        self._reactor = reactor
         self._clock = clock
-        self._evidence = evidence
         self._on_update = on_update
         self.on_convicted: list[Callable[[], None]] = []
         self._records = suspicion.Suspects()
-        self._parts = part_suspicion.Parts()
+        self._parts = suspect_parts.SuspectParts(
+            clock=clock, on_update=on_update
+        )
         self._sender = suspect_rows.Sender()
-        self._checks: dict[announcement.Start, Check] = {}
+        self._checks = crash_checks.CrashChecks(
+            reactor=reactor,
+            clock=clock,
+            evidence=evidence,
+            on_crash=self._record_crash,
+        )
         # Suspects in progress at each start, from this and other entries.
         self._local: dict[int, collections.Counter[int]] = {}
         self._remote: dict[str, dict[int, frozenset[int]]] = {}
@@ -118,27 +80,18 @@
 
     def convicted_s(self, request: call.Call) -> float:
         """Return seconds for which a request is rejected, 0 if it is not."""
-        now = self._clock.monotonic()
-        parts_s = (
-            self._parts.rejected_s(digest, now)
-            for digest in part_digests_of(request)
+        return max(
+            self._request_convicted_s(request),
+            self._parts.convicted_s(request),
         )
-        return max(self._request_convicted_s(request), *parts_s, 0.0)
 
     def convicted_part(self, request: call.Call) -> str:
         """Return the part for which a request is rejected, "" for none."""
-        now = self._clock.monotonic()
-        for part, digest in zip(
-            request.parts, part_digests_of(request), strict=False
-        ):
-            if self._parts.rejected_s(digest, now):
-                return part
-        return ""
+        return self._parts.convicted_part(request)
 
     def is_doubtful(self, request: call.Call) -> bool:
         """Return whether a retry is likely to crash another upstream."""
-        digests = part_digests_of(request)
-        return any(self._parts.is_doubtful(digest) for digest in digests)
+        return self._parts.is_doubtful(request)
 
     def _request_convicted_s(self, request: call.Call) -> float:
         record = self.lookup(request)
@@ -199,19 +152,7 @@
 
     def record_answer(self, request: call.Call) -> None:
         """Clear the parts of a request that an upstream begins to answer."""
-        digests = part_digests_of(request)
-        if not digests:
-            return
-        target = short_hash.of(request.target)
-        now = self._clock.monotonic()
-        cleared = self._parts.record_answer(digests, target=target, now=now)
-        if cleared:
-            LOG.info(
-                "An answer to a request with suspected parts has begun.",
-                request=request.id,
-                digests=cleared,
-            )
-            self._on_update()
+        self._parts.record_answer(request)
 
     def record_success(self, request: call.Call) -> None:
         """Clear a request that an upstream has answered completely."""
@@ -242,56 +183,17 @@
             known.
           answered: Whether the upstream had begun to answer it.
         """
-        check = self._checks.get(upstream.start)
-        first = check is None
-        if check is None:
-            check = Check(lost_at=self._clock.monotonic())
-            self._checks[upstream.start] = check
-        check.losses.append(Loss(request, running, answered))
-        if first:
-            defer.ensureDeferred(self._check(upstream, check))
+        loss = crash_checks.Loss(request, running, answered)
+        self._checks.record_lost(upstream, loss)
 
     async def wait_for_check(self, name: str) -> None:
         """Wait until a crash of an upstream is known, for a short time."""
-        for start, check in self._checks.items():
-            if start.name == name:
-                waiter = defer.Deferred()
-                check.waiters.append(waiter)
-                waiter.addTimeout(
-                    RETRY_WAIT_S,
-                    self._reactor,
-                    onTimeoutCancel=lambda *_: None,
-                )
-                await waiter
-                return
-
-    async def _check(
-        self, upstream: announcement.Announcement, check: Check
-    ) -> None:
-        """Check whether a start has crashed, and record it."""
-        for delay_s in (CRASH_CHECK_DELAY_S, *LATER_CHECK_DELAYS_S):
-            await task.deferLater(self._reactor, delay_s)
-            finding = await self._evidence.find(upstream)
-            if finding.crashed:
-                self._record_crash(
-                    upstream.start, check.losses, lost_at=check.lost_at
-                )
-            _release(check)
-            if finding not in ALIVE:
-                break
-        del self._checks[upstream.start]
-        if not finding.crashed:
-            LOG.info(
-                "An exchange was lost, but its upstream has not crashed.",
-                upstream=upstream.start.key,
-                requests=[loss.request.id for loss in check.losses],
-                finding=finding.value,
-            )
+        await self._checks.wait_for(name)
 
     def _record_crash(
         self,
         start: announcement.Start,
-        losses: list[Loss],
+        losses: list[crash_checks.Loss],
         *,
         lost_at: float | None = None,
     ) -> None:
@@ -329,48 +231,13 @@
                 kept_s=suspicion.RETENTION_S,
             )
         at = now if lost_at is None else lost_at
-        convicted += self._charge_parts(
+        convicted += self._parts.charge(
             part_suspicion.Crash(at, number), unanswered, now
         )
         self._on_update()
         if convicted:
             self._call_on_convicted()
 
-    def _charge_parts(
-        self,
-        crash: part_suspicion.Crash,
-        unanswered: list[call.Call],
-        now: float,
-    ) -> list[int]:
-        """Charge a crash to the parts present; return those it convicts."""
-        convicted = []
-        by_target: dict[str, dict[int, str]] = {}
-        for request in unanswered:
-            names = by_target.setdefault(request.target, {})
-            digests = part_digests_of(request)
-            names.update(zip(digests, request.parts, strict=False))
-        for target, names in by_target.items():
-            found = self._parts.record_crash(
-                crash, tuple(names), target=short_hash.of(target), now=now
-            )
-            self._log_convicted_parts(found, names)
-            convicted += found
-        return convicted
-
-    def _log_convicted_parts(
-        self, digests: list[int], names: dict[int, str]
-    ) -> None:
-        for digest in digests:
-            record = self._parts.by_digest[digest]
-            LOG.warning(
-                "Rejecting requests with a part that crashes upstreams.",
-                digest=digest,
-                part=names.get(digest, ""),
-                crashed=[crash.start for crash in record.crashes],
-                answers=self._parts.answers(digest),
-                kept_s=part_suspicion.REJECTED_S,
-            )
-
     def _call_on_convicted(self) -> None:
         for function in self.on_convicted:
             function()
@@ -404,11 +271,7 @@
             )
             for digest, record in self._records.by_digest.items()
         ]
-        reports += [
-            suspect_rows.PartReport(digest, record)
-            for digest, record in self._parts.by_digest.items()
-        ]
-        return reports
+        return reports + self._parts.reports()
 
     def _running_by_digest(self) -> dict[int, list[int]]:
         by_digest: dict[int, list[int]] = {}
@@ -429,35 +292,13 @@
                         digests = digests_by_number.setdefault(number, set())
                         digests.add(item.digest)
                 case suspect_rows.PartReport() as item:
-                    self._merge_part(item, message.name)
+                    if self._parts.merge(item, message.name):
+                        self._call_on_convicted()
         self._remote[message.name] = {
             number: frozenset(digests)
             for number, digests in digests_by_number.items()
         }
 
-    def _merge_part(
-        self, item: suspect_rows.PartReport, reporter: str
-    ) -> None:
-        now = self._clock.monotonic()
-        old = self._parts.by_digest.get(item.digest)
-        was_rejected = self._parts.rejected_s(item.digest, now) > 0
-        convicted = self._parts.merge(item.digest, item.record, now)
-        new = self._parts.by_digest.get(item.digest)
-        if new is not None and (old is None or old.crashes != new.crashes):
-            LOG.info(
-                "Another entry reported a suspected part.",
-                digest=item.digest,
-                teller=reporter,
-                crashes=len(new.crashes),
-                convicted=new.convicted_at is not None,
-            )
-        self._log_convicted_parts(convicted, {})
-        is_rejected = self._parts.rejected_s(item.digest, now) > 0
-        if convicted:
-            self._on_update()
-        if convicted or (is_rejected and not was_rejected):
-            self._call_on_convicted()
-
     def _merge(
         self, digest: int, record: suspicion.Record, reporter: str
     ) -> None:
@@ -490,22 +331,3 @@
             body=request.body,
         )
     return request.digest
-
-
-def part_digests_of(request: call.Call) -> tuple[int, ...]:
-    """Return the digests of the parts that a request shares with others."""
-    if request.part_digests is None:
-        parts = request.parts[: part_suspicion.MAX_PARTS]
-        request.part_digests = tuple(
-            part_suspicion.digest(target=request.target, part=part)
-            for part in parts
-        )
-    return request.part_digests
-
-
-def _release(check: Check) -> None:
-    """Let the retries go on that wait for a check."""
-    waiters, check.waiters = check.waiters, []
-    for waiter in waiters:
-        if not waiter.called:
-            waiter.callback(None)
