--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*) platform
 
-.PHONY: setup demo test test-processes lint bench soak soak-restore generate
+.PHONY: setup demo test test-processes lint bench soak soak-restore soak-parts generate
 
 setup: $(STAMP)
 
@@ -36,6 +36,9 @@
 soak-restore: setup
 	$(BIN)/python -m standins.soak_restore --seeds $(or $(SEEDS),5) --seed $(or $(SEED),1)
 
+soak-parts: setup
+	$(BIN)/python -m standins.soak_parts --seeds $(or $(SEEDS),5) --seed $(or $(SEED),1)
+
 # Needs the thrift compiler; its output is committed.
 generate:
 	cd packages/reelscale-wire && thrift -r --gen py:twisted -out src reelscale.thrift
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -5,10 +5,8 @@
 
 from behave import given, then, when
 
-from standins import fleet, mixed_callers, process
+from standins import fleet, mixed_callers, soak_parts
 
-CONTACT_S = 3.0
-CRASHES = 5
 # Seconds of sound traffic before, and of both kinds of traffic.
 BEFORE_S = 3.0
 BESIDE_S = 14.0
@@ -45,25 +43,7 @@
     callers.run(mixed_callers.Rates(SOUND_PER_S), BEFORE_S)
     rates = mixed_callers.Rates(SOUND_PER_S, CRASHING_PER_S)
     callers.run(rates, BESIDE_S)
-    _read_ledgers(context)
-
-
-def _read_ledgers(context):
-    """Read what reached the workers, once all are back."""
-    made = context.cluster
-    rows = []
-    for name in made.workers:
-        process.wait_for(lambda n=name: made.answers(made.address[n]), name)
-        rows.append(made.worker(name))
-    context.crashed_at = sorted(
-        r["at"] for row in rows for r in row["crashes"]
-    )
-    context.reached_at = sorted(
-        r["at"]
-        for row in rows
-        for r in row["reached"]
-        if mixed_callers.CRASHING in r["parts"]
-    )
+    context.ledger = soak_parts.read_ledger(context.cluster)
 
 
 @then(
@@ -71,24 +51,25 @@
     "{seconds:d} s after the fifth crash"
 )
 def _(context, most, seconds):
-    crashed_at = context.crashed_at
-    assert len(crashed_at) >= 3, "the part has crashed too few workers"
-    if len(crashed_at) < CRASHES:
-        return
-    bound = crashed_at[CRASHES - 1] + seconds
-    late = [at for at in context.reached_at if at > bound]
-    assert len(late) <= most, (len(crashed_at), len(late))
+    assert seconds == soak_parts.CONTACT_S
+    crashes = len(context.ledger.crashed_at)
+    assert crashes >= 3, "the part has crashed too few workers"
+    assert context.ledger.late <= most, (crashes, context.ledger.late)
 
 
 @then("sound requests are still answered at least half as often as before")
 def _(context):
-    last = context.crashed_at[:CRASHES][-1]
-    sound = [row for row in context.callers.sent if not row.crashing]
-    first_crashing = min(r.at for r in context.callers.sent if r.crashing)
-    before = [row for row in sound if row.at < first_crashing]
-    after = [row for row in sound if row.at > last + 2 * CONTACT_S]
+    before, after = soak_parts.sound_shares(context.callers, context.ledger)
     assert min(len(before), len(after)) >= FEWEST_SOUND, len(after)
-    shares = [
-        sum(r.whole for r in rows) / len(rows) for rows in (before, after)
-    ]
+    shares = [sum(rows) / len(rows) for rows in (before, after)]
     assert shares[1] >= shares[0] / 2, shares
+
+
+@when("seed {seed:d} of the soak with crashing parts is run")
+def _(context, seed):
+    context.broken = soak_parts.run(seed)
+
+
+@then("the soak has found nothing broken")
+def _(context):
+    assert context.broken == [], context.broken
