Ask for an event after the first as proof that an upstream lived on

Found by asking for each way in which a process can end: one that writes its first event whole and then closes its connection in order looked like one that had answered, which cleared the part that crashed it.

Change: parts are cleared by an event after the first, or by the end of an answer whose framing shows it; a request with one event is still charged.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -19,6 +19,7 @@
       | middle | the head of an answer and an orderly close |
       | middle | an orderly close without a byte            |
       | middle | half a body and an orderly close           |
+      | middle | one event and an orderly close             |
 
   Scenario: Workers also crash for other reasons, and entries reload
     When seed 1 of the soak with crashing parts is run
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -37,8 +37,9 @@
       conn: The connection, used by this attempt only until it ends.
       upstream: The upstream.
       abort_code: Error code with which it was aborted, empty if it was not.
-      answered: Whether the upstream has proved to live while it answers: by a
-        whole event, or by the whole of an answer whose framing shows its end.
+      answered: Whether the upstream has proved to live on after it began to
+        answer: by an event after the first, or by the whole of an answer
+        whose framing shows its end.
     """
 
     request: call.Call
@@ -248,7 +249,8 @@
         if not complete:
             continue
         _check_order(active, complete)
-        active.record_answer()
+        if last_at is not None:
+            active.record_answer()
         _send_events(active, head, complete)
         active.context.outages.record_progress(active.request, active.name)
         last_at = _record_pause(active, last_at)
@@ -261,7 +263,7 @@
             bytes=len(cutter.pending),
         )
         raise _broken_off(active)
-    if active.conn.ended_by_close and not active.answered:
+    if active.conn.ended_by_close and last_at is None:
         # A stream without an event is no answer; its upstream has ended.
         raise _broken_off(active)
     if not out.begun:
--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -24,6 +24,7 @@
 PREFIX = "prompt-prefix"
 # Half of an event; the rest never comes.
 HALF_EVENT = b"id: 1\nda"
+WHOLE_EVENT = b"id: 1\ndata: e1\n\n"
 CHUNKED = ("Transfer-Encoding", "chunked")
 EVENTS = ("Content-Type", "text/event-stream")
 ANNOUNCE_TIMEOUT_S = 5.0
@@ -48,6 +49,11 @@
     return True
 
 
+def _close_between_events(channel: Channel) -> bool:
+    channel.transport.write(channel.head_lines(200, [EVENTS]) + WHOLE_EVENT)
+    return True
+
+
 def _close_inside_body(channel: Channel) -> bool:
     more = [("Content-Type", "application/json")]
     channel.transport.write(channel.head_lines(200, more) + b'{"half')
@@ -69,6 +75,7 @@
     "the head of an answer and a reset": _reset_after_head,
     "a reset without a byte": _reset,
     "half an event and an orderly close": _close_inside_event,
+    "one event and an orderly close": _close_between_events,
     "half a body and an orderly close": _close_inside_body,
     "the head of an answer and an orderly close": _close_after_head,
     "an orderly close without a byte": _close,
