--- a/features/steps/suspension_beliefs_steps.py
+++ b/features/steps/suspension_beliefs_steps.py
@@ -13,7 +13,12 @@
     rate_limit,
 )
 from reelscale_daemon import metrics
-from reelscale_daemon.controllers import backoffs, suspects, usage
+from reelscale_daemon.controllers import (
+    backoffs,
+    crash_checks,
+    suspects,
+    usage,
+)
 from reelscale_daemon.controllers import view as views
 from reelscale_daemon.exchange import pool
 from reelscale_daemon.filters import context as contexts
@@ -45,6 +50,7 @@
         counts={},
         received_at=clocks.monotonic(),
         address="127.0.0.2",
+        peer="127.0.0.2:1",
     )
     controller._update_entries()
 
@@ -120,7 +126,7 @@
     asked = suspects_model.Caller(1, crashing=True).call()
     for number in range(2):
         start = announcement.Start(f"u{number}", None)
-        controller._record_crash(start, [suspects.Loss(asked, 1)])
+        controller._record_crash(start, [crash_checks.Loss(asked, 1)])
     return lambda: controller.convicted_s(asked) > 0
 
 
