--- a/packages/reelscale-daemon/src/reelscale_daemon/main.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/main.py
@@ -72,8 +72,13 @@
 
 
 def run() -> None:
-    """Run the command line."""
-    app()
+    """Run the command line, and end the process."""
+    try:
+        app()
+    except SystemExit as ended:
+        if isinstance(ended.code, int):
+            _exit(ended.code)
+        raise
 
 
 def _settings(path: str, role: str) -> settings.Settings:
@@ -106,7 +111,7 @@
 
     reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
-    _exit(FAILED if failed else 0)
+    sys.exit(FAILED if failed else 0)
 
 
 def _exit(status: int) -> NoReturn:
