Review: show that a leaving worker is used again

After a drill, in which the store comes back from a copy some seconds old, some entries send requests to workers that left before it. Callers whose requests are in progress when such a worker ends get 502, though its end was planned.

Order of events: a worker's entry goes, and every entry of ours drops it; some learn that from another's list, not from the log. The store is restored from a copy in which the worker stands. Those that had it from a list did not keep that the worker had left, and use it until the record is written again.

A second way needs no drill: a worker's heartbeat comes to the store 3 s late, after its word that it leaves, and is taken for the newer record.

--- a/review/workers.py
+++ b/review/workers.py
@@ -116,7 +116,9 @@
                 await platform.announce(self.name, self.entry())
 
     def close(self) -> None:
-        """Close all connections."""
+        """Take no more connections and close all that are open."""
+        if self._server is not None:
+            self._server.close()
         for channel in self._channels:
             channel.cancel()
 
