--- a/review/1/case.py
+++ b/review/1/case.py
@@ -135,6 +135,7 @@
     place: lab.Lab, made: list[workers.Worker], answers: dict[str, int]
 ) -> bool:
     """Compare what was promised with what has run."""
+    lab.require_served(answers)
     runs: dict[str, int] = {}
     for worker in made:
         for run in worker.runs:
--- a/review/lab.py
+++ b/review/lab.py
@@ -36,6 +36,10 @@
 # Below the usual range of ports of outgoing connections.
 PORTS = range(20_000, 32_000)
 START_TIMEOUT_S = 20.0
+# A case that takes longer has not run.
+LIMIT_S = 110.0
+# With fewer requests served a case shows nothing.
+MIN_SERVED = 100
 HEARTBEAT_S = 1.2
 # Seeds that the settings of an entry name at most.
 MAX_SEEDS = 3
@@ -51,10 +55,12 @@
 
     Attributes:
       dir: Temporary folder with settings and logs.
+      health: Addresses of the entries for probes.
     """
 
     def __init__(self, record: pathlib.Path) -> None:
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        self.health: list[str] = []
         self._record = record.open("w")
         self._began_at = time.monotonic()
         self._processes: dict[str, subprocess.Popen] = {}
@@ -436,7 +442,8 @@
         )
         place.start_role("entry", settings)
     for host, own in by_host.items():
-        await wait_ready(f"{host}:{own['health']}")
+        place.health.append(f"{host}:{own['health']}")
+        await wait_ready(place.health[-1])
     # The entries find each other within a second.
     await asyncio.sleep(1.5)
     return [f"{host}:{own['http']}" for host, own in by_host.items()]
@@ -465,6 +472,19 @@
         lab.close()
 
 
+def require_served(answers: dict[str, int]) -> None:
+    """Check that the entries have served; SetupError if they have not."""
+    served = sum(status == 200 for status in answers.values())
+    if served < MIN_SERVED:
+        raise SetupError(f"only {served} requests were served")
+
+
+async def _play(case: Callable[..., Any], lab: Lab, trouble: bool) -> bool:
+    """Play a case within the limit; TimeoutError if it takes longer."""
+    async with asyncio.timeout(LIMIT_S):
+        return await case(lab, trouble)
+
+
 def run_case(folder: pathlib.Path, case: Callable[..., Any]) -> int:
     """Run a case and return its exit code.
 
@@ -479,7 +499,7 @@
     try:
         with cleaned_up(Lab(folder / "record.txt")) as lab:
             lab.note("case", trouble=trouble)
-            held = asyncio.run(case(lab, trouble))
+            held = asyncio.run(_play(case, lab, trouble))
             lab.say("The rule held." if held else "The rule was broken.")
             return HELD if held else BROKEN
     except (SetupError, OSError, TimeoutError, EOFError) as failed:
