Log an answer that does not have the id of its request

Hypotheses: 1. what an answer states is applied before its id is compared; 2. a refused request is sent again on the same connection, and the copy of its first refusal has its id; 3. the upstream ran what it had refused. By the line that this adds they differ: 1 gives a line with another id and not_run for each request concerned, 2 gives none, 3 gives none and the id among the upstream's refusals.

--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -156,6 +156,17 @@
         ):
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since connecting began."""
+        return self._monitor.now() - self.opened_at
+
+    @property
+    def label(self) -> str:
+        """Both ends of the connection, to find it in logs of either side."""
+        local = self.transport.getHost()
+        return f"{local.host}:{local.port}-{self.address}"
+
     @property
     def usable(self) -> bool:
         """Whether another exchange may begin on it.
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -105,6 +105,8 @@
     context = active.context
     began = context.clock.monotonic()
     head = context.dialect.answer(await active.conn.head())
+    if head.request_id != active.request.id:
+        _log_other_id(active, head)
     if head.load is not None:
         context.membership.record_load(active.upstream.start, head.load)
     if _answers_request(active, head):
@@ -166,6 +168,21 @@
     return unnamed or head.request_id == active.request.id
 
 
+def _log_other_id(active: ActiveAttempt, head: base.AnswerHead) -> None:
+    """Log an answer that does not have the id of the request."""
+    LOG.warning(
+        "An answer does not have the id of the request.",
+        request=active.request.id,
+        answered=head.request_id,
+        upstream=active.upstream.start.key,
+        status=head.status,
+        not_run=head.not_run,
+        connection=active.conn.label,
+        connection_age_s=round(active.conn.age_s, 3),
+        exchanges=active.conn.used,
+    )
+
+
 def _check_request_id(active: ActiveAttempt, head: base.AnswerHead) -> None:
     """Check that an answer is to this request.
 
