Compare the id of an answer before anything in it is used

Cause: relay() took the statement of not having run, the load and the progress of a group from any answer that was read after a request was written, and compared the id afterwards. A surplus refusal of an earlier request on the connection was so taken for the refusal of the one just sent.

Ruled out: a second refusal of the same request (no line would show) and a worker that runs what it refused (none of the ids is among its refusals).

Change: answer_origin decides whose an answer is before any fact of it is used; answer_facts records them. A foreign answer ends the attempt as one that may have run, and counts as a failure of the upstream; nothing else is taken from it. A refusal without an id proves a request not run on the first exchange of a connection alone, where there is no other request; on later ones it only adds restrictions (rate limit, back-off, leaving), which hold for a while whosever it is.

The check of limits in refusals without an id is kept and now also made on later exchanges, by the whole attempt in place of one function.

--- /dev/null
+++ b/features/answer_attempts.py
@@ -0,0 +1,150 @@
+"""Plays one attempt up to a given answer, and records what the entry does."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import types
+from typing import Any, NamedTuple
+
+from reelscale_core import announcement, clock
+from reelscale_daemon.adapters import base
+from reelscale_daemon.filters import attempt, direct_answer
+
+REQUEST_ID = "r1"
+UPSTREAM = announcement.Announcement(
+    name="w1", target="push", address="10.0.0.1:80", hall="a", slots=6
+)
+
+
+class Recorder:
+    """Records the calls of its methods.
+
+    Attributes:
+      calls: Name and last argument of each call.
+    """
+
+    def __init__(self, calls: list[tuple[str, Any]]) -> None:
+        self.calls = calls
+
+    def __getattr__(self, name: str) -> Any:
+        """Return a method that records its call."""
+
+        def record(*args: Any, **_: Any) -> None:
+            self.calls.append((name, args[-1] if args else None))
+
+        return record
+
+
+class Connection:
+    """A connection on which one answer has arrived."""
+
+    label = "10.0.0.9:1-10.0.0.1:80"
+    age_s = 1.0
+    ended_by_close = False
+
+    def __init__(self, head: base.AnswerHead, exchanges: int) -> None:
+        self.used = exchanges
+        self.aborted = False
+        self._head = head
+        self._pieces = [b"body"]
+
+    async def head(self) -> base.AnswerHead:
+        """Return the head of the answer."""
+        return self._head
+
+    async def chunk(self) -> bytes | None:
+        """Return the body, then its end."""
+        return self._pieces.pop() if self._pieces else None
+
+    def abort(self) -> None:
+        """Record that the connection was reset."""
+        self.aborted = True
+
+
+class Out:
+    """The answer to the caller."""
+
+    begun = False
+
+    def __init__(self) -> None:
+        self.status = 0
+
+    def begin(self, status: int, _headers: Any, **_: Any) -> None:
+        """Record the status."""
+        self.status = status
+
+    def write(self, _pieces: Any) -> None:
+        """Ignore the body."""
+
+    def finish(self) -> None:
+        """Ignore the end."""
+
+
+class Played(NamedTuple):
+    """What an entry did with an answer.
+
+    Attributes:
+      recorded: Names of the facts that it recorded.
+      lost: The error that ended the attempt, if any.
+      status: Status that its caller received, 0 for none.
+      limits: Rate limits that it recorded.
+      aborted: Whether it reset the connection.
+    """
+
+    recorded: set[str]
+    lost: attempt.AttemptLostError | None
+    status: int
+    limits: list[base.RateLimit]
+    aborted: bool
+
+
+def play(
+    head: base.AnswerHead, *, exchanges: int, idempotent: bool = False
+) -> Played:
+    """Have an entry read an answer.
+
+    Args:
+      head: The head of the answer.
+      exchanges: Requests that the connection has carried, this one included.
+      idempotent: Whether the request may run twice.
+    """
+    calls: list[tuple[str, Any]] = []
+    recorder = Recorder(calls)
+    context = types.SimpleNamespace(
+        clock=clock.FakeClock(),
+        dialect=types.SimpleNamespace(answer=lambda given: given),
+        membership=recorder,
+        outages=recorder,
+        suspects=recorder,
+        record_success=recorder.record_success,
+        record_failure=recorder.record_failure,
+    )
+    request = types.SimpleNamespace(
+        id=REQUEST_ID,
+        idempotent=idempotent,
+        target=UPSTREAM.target,
+        view=None,
+        first_byte_at=None,
+        resume_after=None,
+    )
+    conn, out = Connection(head, exchanges), Out()
+    active = direct_answer.ActiveAttempt(
+        request=request, context=context, out=out, conn=conn, upstream=UPSTREAM
+    )
+    running, lost = direct_answer.relay(active), None
+    try:
+        running.send(None)
+    except StopIteration:
+        pass
+    except attempt.AttemptLostError as error:
+        lost = error
+    limits = [value for name, value in calls if name == "record_rate_limit"]
+    names = {name for name, _ in calls}
+    return Played(names, lost, out.status, limits, conn.aborted)
+
+
+def limits_recorded(
+    head: base.AnswerHead, exchanges: int
+) -> list[base.RateLimit]:
+    """Return the rate limits that an entry records of an answer."""
+    return play(head, exchanges=exchanges).limits
--- /dev/null
+++ b/features/answer_origin.feature
@@ -0,0 +1,42 @@
+Feature: Only the answer to a request says what became of it
+
+  Scenario Outline: A <status> that names <named> is taken for the refusal of a request
+    When an entry reads a <status> that states not to have run <named> on exchange <exchange>
+    Then the request counts as <counts>
+    And what the entry records is: <recorded>
+
+    Examples: The request is named
+      | status | named       | exchange | counts  | recorded |
+      | 503    | the request | 1        | not run | load, rate_limit, backoff, leaving, refused |
+      | 503    | the request | 2        | not run | load, rate_limit, backoff, leaving, refused |
+      | 429    | the request | 2        | not run | load, rate_limit, backoff, leaving, refused |
+      | 421    | the request | 2        | not run | load, rate_limit, leaving, refused          |
+      | 408    | the request | 2        | not run | load, rate_limit, leaving, refused          |
+      | 400    | the request | 2        | not run | load, rate_limit, leaving, refused          |
+
+    Examples: Another request is named
+      | status | named           | exchange | counts      | recorded |
+      | 503    | another request | 1        | may have run | failure |
+      | 503    | another request | 2        | may have run | failure |
+      | 429    | another request | 2        | may have run | failure |
+      | 421    | another request | 2        | may have run | failure |
+      | 408    | another request | 2        | may have run | failure |
+      | 400    | another request | 2        | may have run | failure |
+
+    Examples: No request is named
+      | status | named      | exchange | counts       | recorded                                    |
+      | 503    | no request | 1        | not run      | load, rate_limit, backoff, leaving, refused |
+      | 400    | no request | 1        | not run      | load, rate_limit, leaving, refused          |
+      | 503    | no request | 2        | may have run | rate_limit, backoff, leaving                |
+      | 429    | no request | 2        | may have run | rate_limit, backoff, leaving                |
+      | 421    | no request | 2        | may have run | rate_limit, leaving                         |
+
+  Scenario Outline: An answer that names <named> ends a request
+    When an entry reads a 200 that names <named>
+    Then the request counts as may have run
+    And what the entry records is: failure
+
+    Examples:
+      | named           |
+      | another request |
+      | no request      |
--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -45,6 +45,11 @@
     When 40 requests are sent on one connection, each with a surplus answer
     Then each answer belongs to its request
 
+  Scenario: A surplus refusal is taken for that of the next request
+    Given a fleet of one worker that can be at fault
+    When requests to "/push/shed-surplus" and "/push/x" follow on one connection to it
+    Then the first is refused and the second is not, and the second ran once
+
   Scenario: An answer that comes before the body was read
     Given a fleet of its own
     When a client sends a body of 300000 bytes to "/push/early"
--- a/features/platform_shedding.py
+++ b/features/platform_shedding.py
@@ -66,6 +66,8 @@
         self.address = address
         self.usable = True
         self.ended_by_close = False
+        # Each carries one request.
+        self.used = 1
         self._world = world
         self._pieces: list[bytes] = []
         self._breaks = False
--- /dev/null
+++ b/features/steps/answer_origin_steps.py
@@ -0,0 +1,61 @@
+"""Steps on whose answer was read after a request was written."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from behave import then, when
+from reelscale_core import announcement
+from reelscale_daemon.adapters import base
+
+from features import answer_attempts as attempts
+
+IDS = {
+    "the request": attempts.REQUEST_ID,
+    "another request": "r0",
+    "no request": "",
+}
+
+
+def _head(status, named, **fields):
+    return base.AnswerHead(
+        status,
+        (),
+        IDS[named],
+        load=announcement.Load(1, 0, 6),
+        rate_limit=base.RequestsPerSecond(4.0),
+        retry_after_s=2.0,
+        leaving=True,
+        **fields,
+    )
+
+
+@when(
+    "an entry reads a {status:d} that states not to have run {named} on "
+    "exchange {exchange:d}"
+)
+def _(context, status, named, exchange):
+    head = _head(status, named, not_run=True)
+    context.played = attempts.play(head, exchanges=exchange)
+
+
+@when("an entry reads a 200 that names {named}")
+def _(context, named):
+    head = _head(200, named, not_run=False)
+    context.played = attempts.play(head, exchanges=1)
+
+
+@then("the request counts as not run")
+def _(context):
+    assert context.played.lost.not_run, context.played
+
+
+@then("the request counts as may have run")
+def _(context):
+    assert not context.played.lost.not_run, context.played
+    assert context.played.aborted, context.played
+
+
+@then("what the entry records is: {names}")
+def _(context, names):
+    expected = {f"record_{name}" for name in names.split(", ")}
+    assert context.played.recorded == expected, context.played
--- a/features/steps/platform_answers_steps.py
+++ b/features/steps/platform_answers_steps.py
@@ -12,6 +12,8 @@
 
 # Requests that an entry sends to a worker of 6 slots.
 WORKER_SLOTS = 6
+# With these an entry promises that a request has not run and never will.
+PROMISES = (408, 421, 429, 503)
 
 
 @given("a fleet of its own with fully loaded workers")
@@ -71,6 +73,41 @@
     assert len(complete) >= len(context.pairs) // 2, len(complete)
 
 
+@given("a fleet of one worker that can be at fault")
+def _(context):
+    workers = (("push", "a"),)
+    context.cluster = fleet.Fleet(workers=workers).__enter__()
+
+
+@when('requests to "{first}" and "{second}" follow on one connection to it')
+def _(context, first, second):
+    made = context.cluster
+    made.change(routes=[{**r, "attempts": 1} for r in made.config["routes"]])
+    process.wait_for(
+        lambda: _applied(made, made.config["version"]), "the configuration"
+    )
+    context.answers = [made.ask(first), made.ask(second)]
+    # One for the ledger and the control, one for both requests.
+    context.id = context.answers[1].request.headers["request-id"]
+
+
+def _applied(made, version):
+    return any(row.get("version") == version for row in made.log_lines("f1"))
+
+
+@then("the first is refused and the second is not, and the second ran once")
+def _(context):
+    first, second = context.answers
+    assert first.status_code == 503, first
+    assert len(context.cluster.runs_of(context.id)) == 1
+    assert second.status_code not in PROMISES, second
+
+
+@then("the answer does not say that it has not run")
+def _(context):
+    assert context.answer.status_code not in PROMISES, context.answer
+
+
 @then("the worker receives the next request on that connection unaltered")
 def _(context):
     clients.ask(context, "/push/x", body=b"after")
--- a/features/steps/platform_limit_steps.py
+++ b/features/steps/platform_limit_steps.py
@@ -3,15 +3,14 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-import types
-
 from behave import then
 from reelscale_core import number
 from reelscale_daemon.adapters import base
 from reelscale_daemon.exchange import connection
-from reelscale_daemon.filters import direct_answer
 from reelscale_platform import worker as platform_worker
 
+from features import answer_attempts as attempts
+
 
 @then('a limit stated as "{text}" is {meaning}')
 def _(context, text, meaning):
@@ -25,6 +24,7 @@
     assert limit == base.RequestsPerSecond(per_s), limit
 
 
+LIMIT = base.RequestsPerSecond(4.0)
 ANSWERS = {
     "an answer with the request's id": (200, "r1", False),
     "a refusal that names no request": (503, "", True),
@@ -37,10 +37,11 @@
 @then("the limit of {answer} does not count")
 def _(context, answer):
     status, request_id, not_run = ANSWERS[answer]
-    head = base.AnswerHead(status, (), request_id, not_run)
-    active = types.SimpleNamespace(request=types.SimpleNamespace(id="r1"))
-    counts = direct_answer._answers_request(active, head)
-    assert counts == (answer in COUNTED), head
+    head = base.AnswerHead(status, (), request_id, not_run, rate_limit=LIMIT)
+    # A refusal counts on the first exchange of a connection and on others.
+    for exchanges in (1, 2):
+        stated = attempts.limits_recorded(head, exchanges)
+        assert stated == ([LIMIT] if answer in COUNTED else []), stated
 
 
 COUNTED = (
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -10,12 +10,12 @@
 
 import dataclasses
 
-from reelscale_core import announcement, backoff, events
+from reelscale_core import announcement, events
 
 from .. import logs
 from ..adapters import base
 from ..exchange import connection
-from . import attempt, call, writer
+from . import answer_facts, answer_origin, attempt, call, writer
 from . import context as contexts
 
 LOG = logs.Logger("attempt")
@@ -105,22 +105,12 @@
     context = active.context
     began = context.clock.monotonic()
     head = context.dialect.answer(await active.conn.head())
-    if head.request_id != active.request.id:
-        _log_other_id(active, head)
-    if head.load is not None:
-        context.membership.record_load(active.upstream.start, head.load)
-    if _answers_request(active, head):
-        # Applied before the body, which may take seconds to arrive.
-        context.membership.record_rate_limit(
-            active.upstream.start, head.rate_limit
-        )
-        _record_backoff(active, head)
-        if head.leaving:
-            context.membership.record_leaving(active.upstream.start)
+    _check_origin(active, head)
+    # Recorded before the body, which may take seconds to arrive.
+    answer_facts.record(context.membership, active.upstream.start, head)
     if head.not_run:
         raise await _refused(active, head)
     context.outages.record_progress(active.request, active.name)
-    _check_request_id(active, head)
     if _is_stream(head):
         await _relay_events(active, head)
     else:
@@ -136,16 +126,6 @@
     context.membership.record_answer_time(active.request.target, taken_s)
 
 
-def _record_backoff(active: ActiveAttempt, head: base.AnswerHead) -> None:
-    """Record the back-off that the upstream asked for, if any."""
-    if head.status not in backoff.STATUSES:
-        return
-    if head.retry_after_s is not None:
-        active.context.membership.record_backoff(
-            active.upstream.start, head.retry_after_s
-        )
-
-
 async def _refused(
     active: ActiveAttempt, head: base.AnswerHead
 ) -> attempt.AttemptLostError:
@@ -162,10 +142,30 @@
     )
 
 
-def _answers_request(active: ActiveAttempt, head: base.AnswerHead) -> bool:
-    """Return whether an answer has the request id; a refusal may lack it."""
-    unnamed = head.not_run and not head.request_id
-    return unnamed or head.request_id == active.request.id
+def _check_origin(active: ActiveAttempt, head: base.AnswerHead) -> None:
+    """Check that an answer is to this request.
+
+    Raises:
+      AttemptLostError: It may be to another one, so this one may have run;
+        the connection is aborted.
+    """
+    origin = answer_origin.of(
+        head, request_id=active.request.id, exchanges=active.conn.used
+    )
+    if origin is answer_origin.Origin.OWN:
+        return
+    _log_other_id(active, head)
+    active.conn.abort()
+    match origin:
+        case answer_origin.Origin.UNNAMED_REFUSAL:
+            answer_facts.record_restrictions(
+                active.context.membership, active.upstream.start, head
+            )
+        case answer_origin.Origin.FOREIGN:
+            active.context.record_failure(
+                active.name, view=active.request.view
+            )
+    raise active.lost(origin.value)
 
 
 def _log_other_id(active: ActiveAttempt, head: base.AnswerHead) -> None:
@@ -183,18 +183,6 @@
     )
 
 
-def _check_request_id(active: ActiveAttempt, head: base.AnswerHead) -> None:
-    """Check that an answer is to this request.
-
-    Raises:
-      AttemptLostError: It is to another; the connection is aborted.
-    """
-    if head.request_id != active.request.id:
-        active.conn.abort()
-        active.context.record_failure(active.name, view=active.request.view)
-        raise active.lost("foreign-answer")
-
-
 def _check_time(active: ActiveAttempt) -> None:
     """Check that the attempt was not aborted while the caller was slow.
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -75,6 +75,8 @@
         self.body = b""
         self.run: dict[str, Any] | None = None
         self.streaming = ""
+        # A surplus answer, sent in front of the next one on this connection.
+        self.surplus = b""
 
     def connectionMade(self) -> None:  # noqa: N802
         """Count the connection in."""
@@ -155,6 +157,9 @@
                 self.worker.crashes.crash(self.worker)
             self.whole(b"{}")
             return
+        if self.surplus:
+            self.transport.write(self.surplus)
+            self.surplus = b""
         if self.worker.retry_after:
             worker_faults.shed(self)
             return
@@ -320,7 +325,7 @@
 
 # Paths by which tests ask a worker, and words that are no runs.
 OWN_PATHS = (b"/ledger", b"/control")
-NOT_RUN = ("shed", "undecided")
+NOT_RUN = ("shed", "undecided", "shed-surplus", "shed-surplus-once")
 
 
 def main() -> None:
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -32,6 +32,25 @@
     channel.head(503, more, b"")
 
 
+def _shed_surplus(channel: Channel) -> None:
+    """Refuse, and refuse once more in front of the next answer."""
+    channel.surplus = channel.head_lines(
+        503, [("Not-Executed", "1"), ("Content-Length", "0")]
+    )
+    shed(channel)
+
+
+def _shed_surplus_once(channel: Channel) -> None:
+    """Do so with a request that is new, and run it when it comes again."""
+    request_id = channel.header("request-id")
+    reached = [row["id"] for row in channel.worker.reached]
+    if reached.count(request_id) == 1:
+        _shed_surplus(channel)
+        return
+    channel.note_run()
+    channel.whole(channel.text())
+
+
 def _undecided(channel: Channel) -> None:
     """Say nothing until the worker is told to refuse."""
     channel.worker.undecided.append(channel)
@@ -143,6 +162,8 @@
 
 FAULTS: dict[str, Callable[[Channel], None]] = {
     "shed": shed,
+    "shed-surplus": _shed_surplus,
+    "shed-surplus-once": _shed_surplus_once,
     "undecided": _undecided,
     "early": lambda channel: channel.early(),
     "error": lambda channel: channel.head(500, [], channel.text()),
