Send a request again on a connection that has not carried its id

What callers would see: a request that the only upstream of its target refused is sent there once more, with its id. A surplus copy of the refusal that comes in front of the second answer has that id too, so the caller got 503 for a request that ran. The same holds for a caller who uses an id twice, and for the second try of an idempotent request after a failure on a kept connection.

Cause: the pool hands out the connection that was used last, so the same one. Ruled out: streams that resume, whose connection was aborted before.

Change: a connection knows the ids that it has carried, and the pool passes over it for a request with one of them. The set is bounded: a connection that has carried 1,000 named requests is closed.

--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -50,6 +50,12 @@
     When requests to "/push/shed-surplus" and "/push/x" follow on one connection to it
     Then the first is refused and the second is not, and the second ran once
 
+  Scenario: A surplus refusal is taken for that of the same request, sent again
+    Given a fleet of one worker that can be at fault
+    When a client sends "POST" "/push/shed-surplus-once" with the body "once"
+    Then it ran 1 times
+    And the answer does not say that it has not run
+
   Scenario: An answer that comes before the body was read
     Given a fleet of its own
     When a client sends a body of 300000 bytes to "/push/early"
--- a/features/platform_shedding.py
+++ b/features/platform_shedding.py
@@ -73,7 +73,7 @@
         self._breaks = False
         self._head: connection.Head | None = None
 
-    def send(self, request: connection.Request) -> None:
+    def send(self, request: connection.Request, **_: Any) -> None:
         """Send a request to the upstream."""
         world, by_name = self._world, dict(request.headers)
         self._upstream = upstream = world.upstream_at(self.address)
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -40,6 +40,9 @@
 LOST = "lost"
 # Error code of an exchange whose connection stopped responding.
 UNRESPONSIVE = "silent"
+# A connection is closed after it has carried this many named requests, which
+# bounds the memory for their ids.
+MAX_REQUEST_IDS = 1000
 # Answers with these statuses never have a body.
 NO_BODY_STATUSES = frozenset((204, 304))
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -131,6 +134,7 @@
         self.idle_since = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.used = 0
+        self._request_ids: set[str] = set()
         self._reactor = reactor
         self._monitor = monitor
         self._watch: Any = None
@@ -176,10 +180,27 @@
         """
         if self._busy or self._lost is not None:
             return False
+        if len(self._request_ids) >= MAX_REQUEST_IDS:
+            return False
         return not outgoing.unsent_bytes(self.transport)
 
-    def send(self, request: Request) -> None:
-        """Write a request; head() and chunk() read its answer."""
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with an id was sent on it before.
+
+        A second answer to that request could not be told from the answer to
+        a request that has the same id.
+        """
+        return request_id in self._request_ids
+
+    def send(self, request: Request, *, request_id: str = "") -> None:
+        """Write a request; head() and chunk() read its answer.
+
+        Args:
+          request: The request.
+          request_id: The id that its answer repeats, if any.
+        """
+        if request_id:
+            self._request_ids.add(request_id)
         self._busy = True
         self.used += 1
         self.answer_started = False
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
@@ -35,6 +35,7 @@
         max_idle_s: float | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         watched: bool | None = None,
+        request_id: str = "",
     ) -> connection.Connection:
         """Return an idle or a new connection for one exchange.
 
@@ -45,11 +46,13 @@
           watched: Whether the exchange is aborted if the connection seems
             dead; only for idempotent requests.  True by default if max_idle_s
             is None, which implies that the request may be retried.
+          request_id: Id of the request, if its answer repeats it; a
+            connection that has carried this id is not reused.
 
         Raises:
           ExchangeError: "unreachable"; the peer received nothing.
         """
-        conn = self._pop_idle(address, max_idle_s)
+        conn = self._pop_idle(address, max_idle_s, request_id)
         if conn is not None:
             watch = max_idle_s is None if watched is None else watched
             conn.watched = watch and not self._monitor.cooling_down
@@ -97,13 +100,15 @@
                 item.abort()
 
     def _pop_idle(
-        self, address: str, max_idle_s: float | None
+        self, address: str, max_idle_s: float | None, request_id: str
     ) -> connection.Connection | None:
         """Return the most recently used idle connection that is usable."""
         idle = self._idle_by_address.get(address, [])
         now = self._clock.monotonic()
-        while idle:
-            conn = idle.pop()
+        for conn in reversed(list(idle)):
+            if conn.has_carried(request_id):
+                continue
+            idle.remove(conn)
             idle_s = now - conn.idle_since
             max_s = conn.keep_alive_s - connection.KEEP_ALIVE_MARGIN_S
             if max_idle_s is not None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -54,7 +54,7 @@
     request.on_expire = active.abort_with
     context.suspects.begin(request, upstream.start)
     try:
-        conn.send(_request(active))
+        conn.send(_request(active), request_id=request.id)
         await direct_answer.relay(active)
     except connection.ExchangeError as lost:
         raise _lost(active, lost) from lost
@@ -167,6 +167,7 @@
         upstream.address,
         max_idle_s=None if request.idempotent else MAX_IDLE_AT_MOST_ONCE_S,
         connect_timeout_s=min(remaining_s, CONNECT_TIMEOUT_S),
+        request_id=request.id,
     )
 
 
