Log when a circuit opens, is probed and closes

Hypotheses: 1. the probe of a circuit never ends; 2. the group is still taken to be out; 3. the ranks are no longer listed; 4. their slots are never released. The log had nothing of circuits, so 1 could not be told from 4; it has lines of 2 and 3.

--- /dev/null
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/circuits.py
@@ -0,0 +1,56 @@
+"""Applies what happens to requests to the circuits of their upstreams."""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+from typing import Protocol
+
+from reelscale_core import circuit, clock
+
+from .. import logs
+
+LOG = logs.Logger("circuits")
+
+
+class View(Protocol):
+    """State of an upstream at this entry.
+
+    Attributes:
+      breaker: Its circuit breaker.
+    """
+
+    breaker: circuit.Circuit
+
+
+class Circuits:
+    """The transitions of the circuits, each with a line in the log."""
+
+    def __init__(self, *, clock: clock.Clock) -> None:
+        self._clock = clock
+
+    def record_sent(self, name: str, view: View, request: str) -> None:
+        """Record a request to an upstream, possibly the probe of a circuit."""
+        view.breaker = circuit.sent(view.breaker)
+        if view.breaker.probing:
+            LOG.info(
+                "A request probes an upstream.", upstream=name, request=request
+            )
+
+    def record_success(self, name: str, view: View) -> None:
+        """Close the circuit of an upstream."""
+        if view.breaker.open_s:
+            LOG.info("A circuit closed.", upstream=name)
+        view.breaker = circuit.succeeded(view.breaker)
+
+    def record_failure(self, name: str, view: View) -> None:
+        """Count a failure against the circuit of an upstream."""
+        before, now = view.breaker, self._clock.monotonic()
+        view.breaker = circuit.failed(before, now)
+        if view.breaker.open_until != before.open_until:
+            LOG.warning(
+                "A circuit opened.",
+                upstream=name,
+                failures=view.breaker.failures,
+                open_s=view.breaker.open_s,
+                probe_failed=before.probing,
+            )
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
@@ -27,7 +27,7 @@
 from ..adapters import base
 from ..controllers import config, outages, suspects
 from ..exchange import pool
-from . import call
+from . import call, circuits
 
 # Number of decisions kept for "reelscale explain"; bounds their memory.
 MAX_DECISIONS = 2000
@@ -162,6 +162,7 @@
         self.running_by_workspace: dict[str, int] = {}
         self.calls: set[call.Call] = set()
         self.budget = retry.Budget()
+        self.circuits = circuits.Circuits(clock=clock)
         self.outages = outages.Outages(
             clock=clock,
             group_of=membership.group_of,
@@ -254,7 +255,7 @@
         view = self.membership.views_by_name[request.choice.name]
         request.view = view
         view.local_in_flight += 1
-        view.breaker = circuit.sent(view.breaker)
+        self.circuits.record_sent(request.choice.name, view, request.id)
         self.membership.record_sent(view)
         self.outages.record_chosen(request, request.choice.name)
         self.on_local_change()
@@ -308,14 +309,13 @@
         """
         view = view or self.membership.views_by_name.get(name)
         if view is not None:
-            view.breaker = circuit.succeeded(view.breaker)
+            self.circuits.record_success(name, view)
 
     def record_failure(self, name: str, *, view: View | None = None) -> None:
         """Count a failure against an upstream's circuit."""
         view = view or self.membership.views_by_name.get(name)
         if view is not None:
-            now = self.clock.monotonic()
-            view.breaker = circuit.failed(view.breaker, now)
+            self.circuits.record_failure(name, view)
 
     def record_decision(self, request: call.Call) -> None:
         """Store the decision on a request, evicting the oldest."""
