End the probe of a circuit with the request that it is

Cause: the mark that a probe is in progress was cleared by a success or a failure alone. A probe that was refused, that a caller or a deadline ended, that was not sent after all, or that got an own 500 and may be repeated ended without either, and the circuit let nothing through ever after.

Change: a request knows that it is the probe, and releasing its slot ends the probe unless its outcome has: a slot is released however a request ends. Such an end is no verdict; the next probe comes after the initial interval of 1 s, so that an upstream that says nothing costs one request a second at most. A probe is told by its circuit's time, so that one that ends late does not end the next.

--- a/features/models/shedding.py
+++ b/features/models/shedding.py
@@ -165,6 +165,7 @@
             answer_deadline=now + found.timeout_s,
             route=found,
             max_attempts=found.attempts,
+            idempotent=found.kind != route.UNSAFE,
             workspace=routed.PUBLIC,
             target=TARGET,
             is_model=found.kind == route.STREAM,
@@ -189,6 +190,8 @@
             self.refusals.append(refused)
         except writer.AnswerBrokenError as broken:
             asked.code = broken.code
+        except writer.CallerDisconnectedError:
+            asked.code = "disconnected"
         finally:
             self.given.release(asked)
 
--- a/features/steps/circuit_steps.py
+++ b/features/steps/circuit_steps.py
@@ -6,6 +6,8 @@
 from behave import given, then, when
 from reelscale_core import circuit
 
+from features.models import probes
+
 STEP_S = 0.01
 
 
@@ -58,3 +60,46 @@
 def _(context, seconds):
     waited_s = _wait_until_allowed(context)
     assert abs(waited_s - seconds) < 2 * STEP_S, waited_s
+
+
+@when("a probe is sent, an earlier request fails, and another probe is sent")
+def _(context):
+    _wait_until_allowed(context)
+    context.first_probe = context.circuit.open_until
+    context.circuit = circuit.sent(context.circuit)
+    _fail(context, 1)
+    _wait_until_allowed(context)
+    context.circuit = circuit.sent(context.circuit)
+
+
+@when("the first probe ends without a verdict")
+def _(context):
+    context.circuit = circuit.abandoned(
+        context.circuit, context.first_probe, context.now
+    )
+
+
+@then("the circuit allows no request")
+def _(context):
+    assert not circuit.allows(context.circuit, context.now + 60)
+
+
+@given("an entry and an upstream whose circuit is open")
+def _(context):
+    context.world = probes.World()
+
+
+@when("the probe is a request and {way}")
+def _(context, way):
+    context.later = context.world.play(way, "a request")
+
+
+@when("the probe is an idempotent request and {way}")
+def _(context, way):
+    context.later = context.world.play(way, "an idempotent request")
+
+
+@then("a request that comes 1.5 s later is served")
+def _(context):
+    assert not context.world.faults, context.world.faults
+    assert context.later.outcome == "ran", context.later
--- a/packages/reelscale-core/src/reelscale_core/circuit.py
+++ b/packages/reelscale-core/src/reelscale_core/circuit.py
@@ -15,7 +15,8 @@
 
     Attributes:
       failures: Consecutive failures.
-      open_until: Monotonic time of the next probe, in seconds.
+      open_until: Monotonic time of the next probe, in seconds; identifies the
+        probe in progress.
       open_s: Last open interval in seconds, 0 if closed.
       probing: Whether a half-open probe is in progress.
     """
@@ -59,3 +60,20 @@
         return Circuit(failures=failures)
     open_s = min(max(INITIAL_OPEN_S, 2 * circuit.open_s), MAX_OPEN_S)
     return Circuit(failures, now + open_s, open_s)
+
+
+def abandoned(circuit: Circuit, probe: float, now: float) -> Circuit:
+    """Record that a probe ended without a success or a failure.
+
+    It was refused, its caller left or its deadline passed, which says nothing
+    of the upstream.  The next probe follows after the initial interval.
+
+    Args:
+      circuit: The circuit.
+      probe: Its open_until when the probe was sent; a later probe is not
+        ended.
+      now: Monotonic time in seconds.
+    """
+    if not circuit.probing or circuit.open_until != probe:
+        return circuit
+    return circuit._replace(open_until=now + INITIAL_OPEN_S, probing=False)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/call.py
@@ -47,6 +47,8 @@
       choice: The upstream whose slot it holds, if any.
       view: View of that upstream on which the slot is counted, also after a
         restart has replaced it.
+      probe: If it probes that upstream, what identifies the probe; see
+        reelscale_core.circuit.
       waiting: Its entry in the queue, if it waits.
       dispatched: Fires when it leaves the queue.
       disconnected: Whether the caller has disconnected.
@@ -91,6 +93,7 @@
     requirements: routing.Requirements | None = None
     choice: routing.Choice | None = None
     view: Any = None
+    probe: float | None = None
     waiting: admission.QueuedRequest | None = None
     dispatched: defer.Deferred | None = None
     disconnected: bool = False
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/circuits.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/circuits.py
@@ -8,6 +8,7 @@
 from reelscale_core import circuit, clock
 
 from .. import logs
+from . import call
 
 LOG = logs.Logger("circuits")
 
@@ -28,12 +29,30 @@
     def __init__(self, *, clock: clock.Clock) -> None:
         self._clock = clock
 
-    def record_sent(self, name: str, view: View, request: str) -> None:
+    def record_sent(self, request: call.Call, view: View) -> None:
         """Record a request to an upstream, possibly the probe of a circuit."""
         view.breaker = circuit.sent(view.breaker)
+        request.probe = None
         if view.breaker.probing:
+            request.probe = view.breaker.open_until
             LOG.info(
-                "A request probes an upstream.", upstream=name, request=request
+                "A request probes an upstream.",
+                upstream=request.choice.name,
+                request=request.id,
+            )
+
+    def record_end(self, request: call.Call, view: View) -> None:
+        """End the probe that a request was, unless its outcome has done so."""
+        probe, request.probe = request.probe, None
+        if probe is None:
+            return
+        before, now = view.breaker, self._clock.monotonic()
+        view.breaker = circuit.abandoned(before, probe, now)
+        if view.breaker is not before:
+            LOG.info(
+                "A probe ended without a verdict.",
+                request=request.id,
+                next_s=circuit.INITIAL_OPEN_S,
             )
 
     def record_success(self, name: str, view: View) -> None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
@@ -255,7 +255,7 @@
         view = self.membership.views_by_name[request.choice.name]
         request.view = view
         view.local_in_flight += 1
-        self.circuits.record_sent(request.choice.name, view, request.id)
+        self.circuits.record_sent(request, view)
         self.membership.record_sent(view)
         self.outages.record_chosen(request, request.choice.name)
         self.on_local_change()
@@ -268,6 +268,7 @@
         request.choice = None
         if view is not None:
             view.local_in_flight -= 1
+            self.circuits.record_end(request, view)
             self.on_local_change()
         self.pump()
 
