Log the sequence numbers of what is listed and no longer listed

Hypotheses: 1. an end that is learned from a peer's list is not kept; 2. the peer's list lacks the sequence number; 3. the copy has a later heartbeat than was applied; for the second way, 4. the order in the log is taken for the order in which a worker wrote. The lines lacked the numbers that tell 1 from 2 and 3.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -333,6 +333,8 @@
                 name=item.name,
                 leaving=item.leaving,
                 was_gone=view.gone,
+                sequence=item.sequence,
+                sequence_before=view.upstream.sequence,
             )
         view.upstream = item
         view.gone = False
@@ -368,6 +370,7 @@
             "An upstream is no longer listed.",
             name=name,
             own=view.local_in_flight,
+            sequence=upstream.sequence,
         )
         self._connections.close_idle(upstream.address)
         if not view.local_in_flight:
