Keep the end of an upstream that is learned from a peer's list

Cause: a record of the end in the log was remembered, so that a copy that still names the upstream was passed over; an end that shows only in that a complete list lacks the upstream was not, and lists of peers are complete.

Change: an end remembers how it was learned. One learned from a list lies after an unknown number of announcements, so no list brings the upstream back; its next record in the log does. A list that a restored store lacks an upstream in is no end: the copy may be older, and what was lost is written again.

--- /dev/null
+++ b/features/list_ends.feature
@@ -0,0 +1,33 @@
+Feature: An upstream that has left gets no requests by an older record
+
+  Scenario Outline: An end learned from <way> is forgotten when a copy names sequence <sequence>
+    Given an entry that lists an upstream with sequence 4
+    When <way> shows that it has left
+    And the list comes back from a copy that names it with sequence <sequence>
+    Then it gets no requests
+
+    Examples:
+      | way           | sequence |
+      | the log       | 3        |
+      | the log       | 4        |
+      | a peer's list | 3        |
+      | a peer's list | 4        |
+      | a peer's list | 5        |
+
+  Scenario Outline: An upstream that returns after an end learned from <way> is not used
+    Given an entry that lists an upstream with sequence 4
+    When <way> shows that it has left
+    And it announces itself with sequence 6
+    Then it gets requests
+
+    Examples:
+      | way           |
+      | the log       |
+      | a peer's list |
+
+  Scenario: An upstream that a copy and then a peer's list lack is taken for gone
+    Given an entry that lists an upstream with sequence 4
+    When the list comes back from a copy without it
+    And a peer's list shows the same
+    And it announces itself with sequence 4
+    Then it gets requests
--- a/features/platform_directory.py
+++ b/features/platform_directory.py
@@ -45,18 +45,24 @@
     def __init__(self):
         self.records = []
         self.failing = []
+        self.incarnation = 0
 
     async def newest(self, topic, part=0):
         """Return all records so far, without compaction by key."""
         rows = [(n, stores.parse_keyed(r)) for n, r in enumerate(self.records)]
-        return stores.Newest(rows, len(self.records))
+        return stores.Newest(rows, len(self.records), self.incarnation)
 
     async def read(self, topic, part, from_offset, *, wait_s):
         """Return the records from an offset on, or raise a planned error."""
         if self.failing:
             raise self.failing.pop(0)
         rows = self.records[from_offset:]
-        return stores.Records(len(self.records), 0, rows)
+        return stores.Records(len(self.records), 0, rows, self.incarnation)
+
+    def restore(self, records):
+        """Come back from a copy that has these records."""
+        self.records = list(records)
+        self.incarnation += 1
 
 
 class Connections:
--- a/packages/reelscale-core/src/reelscale_core/latest.py
+++ b/packages/reelscale-core/src/reelscale_core/latest.py
@@ -9,7 +9,8 @@
 __license__ = "Apache-2.0"
 
 import collections
-from typing import NamedTuple
+import enum
+from typing import Any, NamedTuple
 
 from .announcement import Announcement, Item, Start
 
@@ -17,18 +18,29 @@
 MAX_UPSTREAMS = 4096
 
 
+class _End(enum.Enum):
+    """How the end of an announcement was learned."""
+
+    # From its record, which followed the announcement that was applied.
+    RECORD = enum.auto()
+    # From a list without it; later announcements may have preceded the end.
+    LIST = enum.auto()
+
+
 class _Applied(NamedTuple):
     """The latest announcement of an upstream.
 
     Attributes:
       start: The start that announced itself.
       sequence: Number of the announcement.
-      withdrawn: Whether it was withdrawn since.
+      end: How it was learned that it has ended since, if it has.
+      lost: Whether a restored list lacks it, though it may not have ended.
     """
 
     start: Start
     sequence: int
-    withdrawn: bool = False
+    end: _End | None = None
+    lost: bool = False
 
 
 class Latest:
@@ -49,11 +61,28 @@
             self._applied_by_name.popitem(last=False)
 
     def withdraw(self, name: str) -> None:
-        """Record that an upstream's announcement was withdrawn."""
+        """Record that the end of an upstream's announcement was read."""
+        self._replace(name, end=_End.RECORD)
+
+    def withdraw_unlisted(self, name: str) -> None:
+        """Record that an upstream's announcement ended before a list."""
+        applied = self._applied_by_name.get(name)
+        if applied is None or applied.lost or applied.end is not None:
+            return
+        self._replace(name, end=_End.LIST)
+
+    def lose(self, name: str) -> None:
+        """Record that a restored list lacks an upstream.
+
+        The copy may be older than its announcement, which is then written
+        again; until then a list without it does not show its end.
+        """
+        self._replace(name, lost=True)
+
+    def _replace(self, name: str, **fields: Any) -> None:
         applied = self._applied_by_name.get(name)
         if applied is not None:
-            withdrawn = applied._replace(withdrawn=True)
-            self._applied_by_name[name] = withdrawn
+            self._applied_by_name[name] = applied._replace(**fields)
 
     def is_outdated(self, item: Item) -> bool:
         """Return whether a newer announcement of the start was applied."""
@@ -61,10 +90,12 @@
         return applied is not None and item.sequence < applied.sequence
 
     def is_withdrawn(self, item: Item) -> bool:
-        """Return whether an announcement was applied and then withdrawn."""
+        """Return whether a listed announcement ended after it was applied."""
         applied = self._same_start(item)
-        if applied is None or not applied.withdrawn:
+        if applied is None or applied.end is None:
             return False
+        if applied.end is _End.LIST:
+            return True
         return item.sequence <= applied.sequence
 
     def _same_start(self, item: Item) -> _Applied | None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -200,11 +200,13 @@
 
     def _apply_page(self, page: base.RosterPage) -> None:
         """Apply changes of the list, or a complete list."""
-        self._note_restore(page.next_offset)
+        restored = self._is_restored(page.next_offset)
+        if restored:
+            self._record_restored(page.next_offset)
         self._next = page.next_offset
         self._starts.record_listed(page.items)
         if page.complete:
-            self._withdraw_unlisted(page)
+            self._withdraw_unlisted(page, restored=restored)
         for item in self._without_outdated(page):
             self._apply_safely(item)
         for item in self._starts.promote_due(self._clock.monotonic()):
@@ -230,14 +232,17 @@
             items = [i for i in items if not self._latest.is_outdated(i)]
         return items
 
-    def _note_restore(self, next_offset: int) -> None:
-        """Grant upstreams time to be listed again if the list was restored.
+    def _is_restored(self, next_offset: int) -> bool:
+        """Return whether a page is of another incarnation of the list."""
+        old, new = position.decode(self._next), position.decode(next_offset)
+        return self.ready and new.incarnation != old.incarnation
+
+    def _record_restored(self, next_offset: int) -> None:
+        """Grant upstreams time to be listed again after a restore.
 
         The copy lacks those that were announced after it was made.
         """
         old, new = position.decode(self._next), position.decode(next_offset)
-        if not self.ready or new.incarnation == old.incarnation:
-            return
         self._recovered_at = self._restored_at = self._clock.monotonic()
         LOG.warning(
             "The list was restored from a copy; it was read anew.",
@@ -248,11 +253,23 @@
             upstreams=len(self.views_by_name),
         )
 
-    def _withdraw_unlisted(self, page: base.RosterPage) -> None:
-        """Withdraw upstreams that are missing from a complete list."""
+    def _withdraw_unlisted(
+        self, page: base.RosterPage, *, restored: bool
+    ) -> None:
+        """Withdraw upstreams that are missing from a complete list.
+
+        Args:
+          page: The list.
+          restored: Whether it is the first of a restored store, which may
+            lack what was announced after its copy was made.
+        """
         listed = {item.name for item in page.items}
         self._starts.retain(listed)
         for name in set(self.views_by_name) - listed:
+            if restored:
+                self._latest.lose(name)
+            else:
+                self._latest.withdraw_unlisted(name)
             self._remove(name)
 
     def _apply_safely(self, item: announcement.Item) -> None:
