Let no older record bring back an upstream that leaves

Cause: sequence numbers were compared in complete lists and for 10 s after a start or a restore; else the order in the log was taken for the order in which a worker wrote.

Change: an announcement that is older than one applied, or no newer than one that has ended, is passed over in any page.

--- a/features/list_ends.feature
+++ b/features/list_ends.feature
@@ -31,3 +31,21 @@
     And a peer's list shows the same
     And it announces itself with sequence 4
     Then it gets requests
+
+  Scenario Outline: A record that is carried out late brings an upstream back after <newer>
+    Given an entry that lists an upstream with sequence 4
+    When <newer> is in the log
+    And it announces itself with sequence <sequence>
+    Then it gets no requests
+
+    Examples:
+      | newer                           | sequence |
+      | that it leaves, with sequence 6 | 5        |
+      | its end                         | 3        |
+      | its end                         | 4        |
+
+  Scenario: An upstream that announces itself after it said that it leaves is used
+    Given an entry that lists an upstream with sequence 4
+    When that it leaves, with sequence 6, is in the log
+    And it announces itself with sequence 7
+    Then it gets requests
--- a/features/models/shedding.py
+++ b/features/models/shedding.py
@@ -9,6 +9,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import itertools
 import random
 import types
 from typing import Any
@@ -68,6 +69,7 @@
           slow_share: Fraction of connections that are slow to open.
         """
         self._slow_share = slow_share
+        self._sequence = itertools.count(1)
         self.random = random.Random(seed)
         # The poll intervals of the list use the module's generator.
         random.seed(seed)
@@ -124,7 +126,13 @@
         born_ms = self.upstreams[name].born_ms
         number = int(name[1:])
         addr = f"10.0.0.{number}:80"
-        data = {"service": TARGET, "addr": addr, "born": born_ms, **fields}
+        data = {
+            "service": TARGET,
+            "addr": addr,
+            "born": born_ms,
+            "seq": next(self._sequence),
+            **fields,
+        }
         self.listing.write(name, fakes.entry(**data))
 
     def upstream_at(self, address: str) -> played.Upstream:
--- a/features/steps/list_ends_steps.py
+++ b/features/steps/list_ends_steps.py
@@ -86,3 +86,17 @@
 @then("it gets requests")
 def _(context):
     assert NAME in context.listing.listed(), context.listing.listed()
+
+
+@when("that it leaves, with sequence 6 is in the log")
+@when("that it leaves, with sequence 6, is in the log")
+def _(context):
+    context.listing.write(NAME, _entry(6, state="draining"))
+    _pass_time(context)
+    assert NAME not in context.listing.listed()
+
+
+@when("its end is in the log")
+def _(context):
+    context.listing.write(NAME, None)
+    _pass_time(context)
--- a/packages/reelscale-core/src/reelscale_core/latest.py
+++ b/packages/reelscale-core/src/reelscale_core/latest.py
@@ -1,8 +1,9 @@
 """Recognizes announcements that are older than one already applied.
 
 A list that was restored from a copy may name an upstream as ready that has
-announced since that it leaves, or that is gone.  What an upstream announced
-last holds until it announces something newer.
+announced since that it leaves, or that is gone.  A record that its writer sent
+first may also be carried out last.  What an upstream announced last holds
+until it announces something newer.
 """
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
@@ -85,18 +86,25 @@
             self._applied_by_name[name] = applied._replace(**fields)
 
     def is_outdated(self, item: Item) -> bool:
-        """Return whether a newer announcement of the start was applied."""
+        """Return whether something newer of the start was applied.
+
+        That is a later announcement, or the end of the same one.
+        """
         applied = self._same_start(item)
-        return applied is not None and item.sequence < applied.sequence
+        if applied is None:
+            return False
+        if applied.end is _End.RECORD:
+            return item.sequence <= applied.sequence
+        return item.sequence < applied.sequence
 
     def is_withdrawn(self, item: Item) -> bool:
-        """Return whether a listed announcement ended after it was applied."""
+        """Return whether a list may have an announcement that has ended.
+
+        It does not apply to the log, in which an announcement that follows
+        the end is a new one.
+        """
         applied = self._same_start(item)
-        if applied is None or applied.end is None:
-            return False
-        if applied.end is _End.LIST:
-            return True
-        return item.sequence <= applied.sequence
+        return applied is not None and applied.end is _End.LIST
 
     def _same_start(self, item: Item) -> _Applied | None:
         """Return what was applied of an item's start, if both are numbered."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -48,8 +48,6 @@
 # How long an unlisted upstream is kept after an outage or a restore of the
 # store, in seconds: it may be listed again with its next heartbeat.
 RELIST_GRACE_S = 2.0
-# How long after a restore lost announcements may be written again, in seconds.
-REWRITE_S = 10.0
 
 
 class Directory(upstreams.Upstreams):
@@ -96,8 +94,6 @@
         self._update_offset = 0
         self._has_updates = False
         self._recovered_at = float("-inf")
-        # Before the start of this process the store may have been restored.
-        self._restored_at = clock.monotonic()
         self._down = False
         self._stopped = False
         self._follower = follower.Follower(
@@ -221,15 +217,13 @@
     ) -> list[announcement.Item]:
         """Return the items that are not older than what is known.
 
-        A complete list may be of a restored store, or of a peer that read one,
-        and lost records may be written again after newer ones.
+        The log orders records as they were carried out, which may be seconds
+        after newer ones of the same upstream.  A complete list may be of a
+        restored store, or of a peer that read one.
         """
-        items = page.items
+        items = [i for i in page.items if not self._latest.is_outdated(i)]
         if page.complete:
             items = [i for i in items if not self._latest.is_withdrawn(i)]
-        since_s = self._clock.monotonic() - self._restored_at
-        if page.complete or since_s < REWRITE_S:
-            items = [i for i in items if not self._latest.is_outdated(i)]
         return items
 
     def _is_restored(self, next_offset: int) -> bool:
@@ -243,7 +237,7 @@
         The copy lacks those that were announced after it was made.
         """
         old, new = position.decode(self._next), position.decode(next_offset)
-        self._recovered_at = self._restored_at = self._clock.monotonic()
+        self._recovered_at = self._clock.monotonic()
         LOG.warning(
             "The list was restored from a copy; it was read anew.",
             incarnation_before=old.incarnation,
