Promise that a request has not run only where its upstream states it

What callers would see: 503, 429, 421 or 408 tells them that a request that must not run twice has not run. An upstream's own answer with such a status was forwarded also where it does not state that.

Cause: the status alone set off the promise; the statement was asked for only before another attempt.

Change: such an answer to a request that must not run twice is drained and the caller gets 502. Idempotent requests get it unchanged.

--- a/features/answer_origin.feature
+++ b/features/answer_origin.feature
@@ -40,3 +40,17 @@
       | named           |
       | another request |
       | no request      |
+
+  Scenario Outline: A <status> without a statement promises that <kind> has not run
+    When an entry reads a <status> to <kind> that states nothing
+    Then its caller gets <answer>
+
+    Examples:
+      | status | kind                              | answer            |
+      | 503    | a request that must not run twice | no answer from it |
+      | 429    | a request that must not run twice | no answer from it |
+      | 421    | a request that must not run twice | no answer from it |
+      | 408    | a request that must not run twice | no answer from it |
+      | 500    | a request that must not run twice | the status 500    |
+      | 404    | a request that must not run twice | the status 404    |
+      | 429    | an idempotent request             | the status 429    |
--- a/features/steps/answer_origin_steps.py
+++ b/features/steps/answer_origin_steps.py
@@ -59,3 +59,26 @@
 def _(context, names):
     expected = {f"record_{name}" for name in names.split(", ")}
     assert context.played.recorded == expected, context.played
+
+
+KINDS = {
+    "a request that must not run twice": False,
+    "an idempotent request": True,
+}
+
+
+@when("an entry reads a {status:d} to {kind} that states nothing")
+def _(context, status, kind):
+    head = _head(status, "the request", not_run=False)
+    context.played = attempts.play(head, exchanges=2, idempotent=KINDS[kind])
+
+
+@then("its caller gets no answer from it")
+def _(context):
+    assert context.played.status == 0, context.played
+    assert not context.played.lost.not_run, context.played
+
+
+@then("its caller gets the status {status:d}")
+def _(context, status):
+    assert context.played.status == status, context.played
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -22,6 +22,8 @@
 # Answers with this status or above are failures of the upstream.
 MIN_FAILURE_STATUS = 500
 EVENT_STREAM = b"text/event-stream"
+# Callers take these for the promise that a request has not run.
+PROMISES = frozenset((408, 421, 429, 503))
 # A longer answer is forwarded while it is read and can't be retried.
 MAX_BUFFERED_BYTES = 256 * 1024
 
@@ -111,6 +113,8 @@
     if head.not_run:
         raise await _refused(active, head)
     context.outages.record_progress(active.request, active.name)
+    if _may_mislead(active, head):
+        raise await _unstated(active, head)
     if _is_stream(head):
         await _relay_events(active, head)
     else:
@@ -142,6 +146,30 @@
     )
 
 
+def _may_mislead(active: ActiveAttempt, head: base.AnswerHead) -> bool:
+    """Return whether an answer promises what its upstream does not state.
+
+    Only the statement of not having run shows that a request has not run; the
+    caller of a request that must not run twice would send it again.
+    """
+    return head.status in PROMISES and not active.request.idempotent
+
+
+async def _unstated(
+    active: ActiveAttempt, head: base.AnswerHead
+) -> attempt.AttemptLostError:
+    """Drain an answer that is not forwarded; return the error."""
+    LOG.warning(
+        "An answer does not state whether its request has run.",
+        request=active.request.id,
+        upstream=active.upstream.start.key,
+        status=head.status,
+    )
+    while await active.conn.chunk() is not None:
+        pass
+    return active.lost(f"upstream-{head.status}")
+
+
 def _check_origin(active: ActiveAttempt, head: base.AnswerHead) -> None:
     """Check that an answer is to this request.
 
