Wake the queue when a circuit may be probed

What callers would see: while the list of upstreams is unreadable, requests that wait for an upstream whose circuit is open expire in the queue, however many come, though it may be probed.

Cause: found while every end of a probe was looked at. The queue is retried when a slot is released or the list was read; the end of a circuit's interval was neither. Ruled out where the list is read, as each read retries the queue.

Change: the interval's end retries the queue, a little late, as the reactor's timers and the circuits follow different clocks.

--- a/features/circuit.feature
+++ b/features/circuit.feature
@@ -49,3 +49,8 @@
     And a probe is sent, an earlier request fails, and another probe is sent
     And the first probe ends without a verdict
     Then the circuit allows no request
+
+  Scenario: A request that waits for an open circuit is forgotten in the queue
+    Given an entry whose list is unreadable and an upstream that has just failed
+    When a request that may wait for 3 s comes
+    Then it is sent 1 s after the failure
--- a/features/models/probes.py
+++ b/features/models/probes.py
@@ -33,9 +33,14 @@
     def __init__(self) -> None:
         super().__init__(seed=1, count=1, slow_share=0.0)
         self.way = ""
+        self.fail_upstream()
+        self.pass_time(circuit.INITIAL_OPEN_S + 0.1)
+
+    def fail_upstream(self) -> None:
+        """Open the circuit of the upstream."""
+        self.given.record_success(NAME)
         for _ in range(circuit.FAILURES_TO_OPEN):
             self.given.record_failure(NAME)
-        self.pass_time(circuit.INITIAL_OPEN_S + 0.1)
 
     async def acquire(self, address: str, **_: Any) -> "Connection":
         """Open a connection, unless the probe ends before."""
--- a/features/steps/circuit_steps.py
+++ b/features/steps/circuit_steps.py
@@ -4,7 +4,7 @@
 __license__ = "Apache-2.0"
 
 from behave import given, then, when
-from reelscale_core import circuit
+from reelscale_core import circuit, error
 
 from features.models import probes
 
@@ -103,3 +103,21 @@
 def _(context):
     assert not context.world.faults, context.world.faults
     assert context.later.outcome == "ran", context.later
+
+
+@given(
+    "an entry whose list is unreadable and an upstream that has just failed"
+)
+def _(context):
+    world = context.world = probes.World()
+    # Each read of the list would wake the queue.
+    down = error.CodedError("log-down", step="read")
+    world.listing.store.failing = [down] * 1000
+    world.pass_time(1.0)
+    world.fail_upstream()
+
+
+@then("it is sent 1 s after the failure")
+def _(context):
+    context.world.pass_time(circuit.INITIAL_OPEN_S + 0.1)
+    assert context.asked.attempts, context.asked
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/circuits.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/circuits.py
@@ -3,7 +3,8 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from reelscale_core import circuit, clock
 
@@ -11,6 +12,8 @@
 from . import call
 
 LOG = logs.Logger("circuits")
+# The reactor's timers follow another clock than the circuits.
+TIMER_MARGIN_S = 0.01
 
 
 class View(Protocol):
@@ -26,8 +29,24 @@
 class Circuits:
     """The transitions of the circuits, each with a line in the log."""
 
-    def __init__(self, *, clock: clock.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: clock.Clock,
+        on_probe_due: Callable[[], None],
+    ) -> None:
+        """Initialize without open circuits.
+
+        Args:
+          reactor: The reactor.
+          clock: The clock.
+          on_probe_due: Called once a circuit may be probed, so that queued
+            requests are retried.
+        """
+        self._reactor = reactor
         self._clock = clock
+        self._on_probe_due = on_probe_due
 
     def record_sent(self, request: call.Call, view: View) -> None:
         """Record a request to an upstream, possibly the probe of a circuit."""
@@ -49,6 +68,7 @@
         before, now = view.breaker, self._clock.monotonic()
         view.breaker = circuit.abandoned(before, probe, now)
         if view.breaker is not before:
+            self._schedule_probe(view, now)
             LOG.info(
                 "A probe ended without a verdict.",
                 request=request.id,
@@ -66,6 +86,7 @@
         before, now = view.breaker, self._clock.monotonic()
         view.breaker = circuit.failed(before, now)
         if view.breaker.open_until != before.open_until:
+            self._schedule_probe(view, now)
             LOG.warning(
                 "A circuit opened.",
                 upstream=name,
@@ -73,3 +94,8 @@
                 open_s=view.breaker.open_s,
                 probe_failed=before.probing,
             )
+
+    def _schedule_probe(self, view: View, now: float) -> None:
+        """Have queued requests retried when the circuit may be probed."""
+        pause_s = view.breaker.open_until - now + TIMER_MARGIN_S
+        self._reactor.callLater(pause_s, self._on_probe_due)
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
@@ -162,7 +162,9 @@
         self.running_by_workspace: dict[str, int] = {}
         self.calls: set[call.Call] = set()
         self.budget = retry.Budget()
-        self.circuits = circuits.Circuits(clock=clock)
+        self.circuits = circuits.Circuits(
+            reactor=reactor, clock=clock, on_probe_due=self.pump
+        )
         self.outages = outages.Outages(
             clock=clock,
             group_of=membership.group_of,
