Reuse no idle connection on which something waits unread

What callers would see: a surplus answer that came while the process was busy or stopped lies unread in the socket as the next request is written, and is read as its answer; the id shows that, and the caller gets 502 for a request that ran. For calls without an id (orders, reports, the store) nothing shows it.

Cause: a connection is dropped if bytes arrive while it is idle, but that is seen only once the reactor has read them.

Change: before an idle connection is reused, its socket is peeked at; bytes or a close drop it. What arrives between the peek and the write is left to the id.

Test on: idle_connections.feature, 2 of 3 failed (a surplus answer and a close).

--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -184,6 +184,20 @@
             return False
         return not outgoing.unsent_bytes(self.transport)
 
+    def is_silent(self) -> bool:
+        """Return whether neither bytes nor a close wait to be read.
+
+        The peer may have sent them while this process was busy or stopped;
+        they would be read as the answer to the next request.
+        """
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def has_carried(self, request_id: str) -> bool:
         """Return whether a request with an id was sent on it before.
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
@@ -113,7 +113,7 @@
             max_s = conn.keep_alive_s - connection.KEEP_ALIVE_MARGIN_S
             if max_idle_s is not None:
                 max_s = min(max_s, max_idle_s)
-            if conn.usable and idle_s < max_s:
+            if conn.usable and idle_s < max_s and conn.is_silent():
                 return conn
             conn.abort()
         return None
