Compare the attempt of a batch before anything in it is used

What callers would see: in the own interface a batch with the end of another attempt ends theirs, as refused if it says so, and the request may have run.

Ruled out that it happens today: calls and answers are tied by thrift's sequence numbers, and an agent repeats the attempt of the pull.

Change: a batch of another attempt ends the attempt as one that may have run.

Test on: 'A batch of another attempt refuses an attempt' failed.

--- a/features/answer_attempts.py
+++ b/features/answer_attempts.py
@@ -8,7 +8,9 @@
 
 from reelscale_core import announcement, clock
 from reelscale_daemon.adapters import base
-from reelscale_daemon.filters import attempt, direct_answer
+from reelscale_daemon.filters import attempt as attempts
+from reelscale_daemon.filters import call, direct_answer
+from reelscale_wire.gen import ttypes
 
 REQUEST_ID = "r1"
 UPSTREAM = announcement.Announcement(
@@ -92,7 +94,7 @@
     """
 
     recorded: set[str]
-    lost: attempt.AttemptLostError | None
+    lost: attempts.AttemptLostError | None
     status: int
     limits: list[base.RateLimit]
     aborted: bool
@@ -136,7 +138,7 @@
         running.send(None)
     except StopIteration:
         pass
-    except attempt.AttemptLostError as error:
+    except attempts.AttemptLostError as error:
         lost = error
     limits = [value for name, value in calls if name == "record_rate_limit"]
     names = {name for name, _ in calls}
@@ -148,3 +150,56 @@
 ) -> list[base.RateLimit]:
     """Return the rate limits that an entry records of an answer."""
     return play(head, exchanges=exchanges).limits
+
+
+class Agent:
+    """An agent that admits every attempt and answers pulls with one batch."""
+
+    def __init__(self, batch: ttypes.Batch) -> None:
+        self._batch = batch
+
+    async def call(self, method: str, _message: Any, **_: Any) -> Any:
+        """Return the answer to a call."""
+        if method == "pull":
+            return self._batch
+        return ttypes.Verdict(kind=ttypes.VerdictKind.ADMITTED)
+
+
+def pull(batch: ttypes.Batch, *, attempt: str) -> attempts.AttemptLostError:
+    """Return the error that ends an attempt whose pull gets a batch."""
+    recorder = Recorder([])
+    agent = Agent(batch)
+    context = types.SimpleNamespace(
+        clock=clock.FakeClock(),
+        config=types.SimpleNamespace(state=types.SimpleNamespace(offset=0)),
+        links=types.SimpleNamespace(to=lambda _address: agent),
+        membership=types.SimpleNamespace(views_by_name={}),
+        metrics=types.SimpleNamespace(attempts=recorder, dropped=recorder),
+        next_id=lambda: attempt,
+        record_failure=recorder.record_failure,
+        settings=types.SimpleNamespace(name="e1"),
+        upstream=lambda _name: types.SimpleNamespace(agent="127.0.0.1:1"),
+    )
+    request = call.Call(
+        http=None,
+        id=REQUEST_ID,
+        arrived_at=0.0,
+        deadline=1.0,
+        workspace=types.SimpleNamespace(name="acme"),
+        choice=types.SimpleNamespace(name="w1", reason="wait"),
+    )
+    running = attempts.run(request, context, _PullOut())
+    try:
+        running.send(None)
+    except attempts.AttemptLostError as error:
+        return error
+    raise AssertionError("the attempt did not end")
+
+
+class _PullOut(Out):
+    """The answer to the caller of a pulled attempt."""
+
+    events = 0
+
+    async def drained(self) -> None:
+        """Return at once."""
--- a/features/answer_origin.feature
+++ b/features/answer_origin.feature
@@ -54,3 +54,7 @@
       | 500    | a request that must not run twice | the status 500    |
       | 404    | a request that must not run twice | the status 404    |
       | 429    | an idempotent request             | the status 429    |
+
+  Scenario: A batch of another attempt refuses an attempt
+    When an agent answers a pull with a refusal of another attempt
+    Then the attempt counts as may have run
--- a/features/steps/answer_origin_steps.py
+++ b/features/steps/answer_origin_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when
 from reelscale_core import announcement
 from reelscale_daemon.adapters import base
+from reelscale_wire.gen import ttypes
 
 from features import answer_attempts as attempts
 
@@ -82,3 +83,21 @@
 @then("its caller gets the status {status:d}")
 def _(context, status):
     assert context.played.status == status, context.played
+
+
+@when("an agent answers a pull with a refusal of another attempt")
+def _(context):
+    refusal = ttypes.Batch(
+        attempt="a0",
+        from_seq=0,
+        chunks=[],
+        done=True,
+        code="busy",
+        ran=ttypes.VerdictKind.REFUSED,
+    )
+    context.lost = attempts.pull(refusal, attempt="a1")
+
+
+@then("the attempt counts as may have run")
+def _(context):
+    assert not context.lost.not_run, context.lost
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/attempt.py
@@ -257,6 +257,9 @@
     while True:
         await out.drained()
         batch = await _pull(context, attempt, name, to, assembly.seq)
+        if batch.attempt != attempt:
+            context.record_failure(name)
+            raise AttemptLostError("foreign-answer", peer=name, not_run=False)
         fragment = answer.Fragment(
             attempt=batch.attempt,
             from_seq=batch.from_seq,
