Send orders to a rank on connections on which nothing older comes

What could happen: answers to orders and reports have no id, and a rank may send one twice, late, in the place where the next is due. A report from before an order was so taken for the order's answer (begun, where it was not) or for the state after it (not armed, where it was), and a group released on it could begin a step on two layouts.

Ruled out that an id could: a trial that sent one with each call got none back.

Change: an order goes out on a new connection, and no connection that was opened before is used again, also not one that is in use as it is sent. What is read after an order was so written after it.

--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/client.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/client.py
@@ -22,6 +22,10 @@
         self._connections = connections
         self._address = address
 
+    def retire_connections(self) -> None:
+        """Reuse no connection that was opened before now."""
+        self._connections.retire(self._address)
+
     async def request(
         self,
         method: str,
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/pool.py
@@ -3,6 +3,7 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
+import math
 from typing import Any
 
 from reelscale_core import clock
@@ -22,6 +23,7 @@
         self._reactor = reactor
         self._clock = clock
         self._idle_by_address: dict[str, list[connection.Connection]] = {}
+        self._retired_at_by_address: dict[str, float] = {}
         self.open_by_address: dict[str, int] = {}
         self.opened = 0
         self._monitor = liveness.Monitor(
@@ -63,9 +65,22 @@
         """Return a connection to the pool if it is usable."""
         if not conn.usable:
             return
+        if conn.opened_at < self._retired_at_by_address.get(
+            conn.address, -math.inf
+        ):
+            conn.abort()
+            return
         conn.idle_since = self._clock.monotonic()
         self._idle_by_address.setdefault(conn.address, []).append(conn)
 
+    def retire(self, address: str) -> None:
+        """Reuse no connection to a peer that was opened before now.
+
+        Nothing that is read on later ones can be older.
+        """
+        self._retired_at_by_address[address] = self._clock.monotonic()
+        self.close_idle(address)
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a peer."""
         for item in self._idle_by_address.pop(address, []):
@@ -158,4 +173,5 @@
             self.open_by_address[address] = remaining
         else:
             self.open_by_address.pop(address, None)
+            self._retired_at_by_address.pop(address, None)
             self._monitor.forget(address)
