Read on behind a surplus answer to the own one

Weighed: the attempt can end there (simple, but 502 for what has run), or the entry reads on. An answer with an unknown id, or none, shows nothing of what follows, and waiting for it could last until the deadline. But where the connection has carried the id before, the answer is a second one to that request, and the own one is still due.

Change: up to two such answers are read over, by their framing; what comes next is compared in the same way, within the request's deadline. The connection is not used again. Other foreign answers end the attempt as before.

Tests: 'N surplus answers hide the answer to a request', and the scenario of the fleet now asks that the second request is served; both failed before.

--- a/features/answer_attempts.py
+++ b/features/answer_attempts.py
@@ -13,6 +13,8 @@
 from reelscale_wire.gen import ttypes
 
 REQUEST_ID = "r1"
+# Id of a request that the connection has carried before.
+EARLIER_ID = "r-earlier"
 UPSTREAM = announcement.Announcement(
     name="w1", target="push", address="10.0.0.1:80", hall="a", slots=6
 )
@@ -38,21 +40,28 @@
 
 
 class Connection:
-    """A connection on which one answer has arrived."""
+    """A connection on which answers have arrived."""
 
     label = "10.0.0.9:1-10.0.0.1:80"
     age_s = 1.0
     ended_by_close = False
 
-    def __init__(self, head: base.AnswerHead, exchanges: int) -> None:
+    def __init__(self, heads: list[base.AnswerHead], exchanges: int) -> None:
         self.used = exchanges
         self.aborted = False
-        self._head = head
+        self._heads = list(heads)
         self._pieces = [b"body"]
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request was sent on it."""
+        return request_id in (REQUEST_ID, EARLIER_ID)
+
     async def head(self) -> base.AnswerHead:
-        """Return the head of the answer."""
-        return self._head
+        """Return the head of the next answer."""
+        return self._heads.pop(0)
+
+    async def skip_answer(self) -> None:
+        """Do nothing, as the next head is that of the next answer."""
 
     async def chunk(self) -> bytes | None:
         """Return the body, then its end."""
@@ -101,12 +110,12 @@
 
 
 def play(
-    head: base.AnswerHead, *, exchanges: int, idempotent: bool = False
+    *heads: base.AnswerHead, exchanges: int, idempotent: bool = False
 ) -> Played:
     """Have an entry read an answer.
 
     Args:
-      head: The head of the answer.
+      heads: The heads of the answers that arrive.
       exchanges: Requests that the connection has carried, this one included.
       idempotent: Whether the request may run twice.
     """
@@ -129,7 +138,7 @@
         first_byte_at=None,
         resume_after=None,
     )
-    conn, out = Connection(head, exchanges), Out()
+    conn, out = Connection(heads, exchanges), Out()
     active = direct_answer.ActiveAttempt(
         request=request, context=context, out=out, conn=conn, upstream=UPSTREAM
     )
--- a/features/answer_origin.feature
+++ b/features/answer_origin.feature
@@ -41,6 +41,16 @@
       | another request |
       | no request      |
 
+  Scenario Outline: <count> surplus answers hide the answer to a request
+    When an entry reads <count> refusals of an earlier request and then its own answer
+    Then its caller gets <answer>
+
+    Examples:
+      | count | answer            |
+      | 1     | the status 200    |
+      | 2     | the status 200    |
+      | 3     | no answer from it |
+
   Scenario Outline: A <status> without a statement promises that <kind> has not run
     When an entry reads a <status> to <kind> that states nothing
     Then its caller gets <answer>
--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -48,7 +48,7 @@
   Scenario: A surplus refusal is taken for that of the next request
     Given a fleet of one worker that can be at fault
     When requests to "/push/shed-surplus" and "/push/x" follow on one connection to it
-    Then the first is refused and the second is not, and the second ran once
+    Then the first is refused and the second is served, and the second ran once
 
   Scenario: A surplus refusal is taken for that of the same request, sent again
     Given a fleet of one worker that can be at fault
--- a/features/steps/answer_origin_steps.py
+++ b/features/steps/answer_origin_steps.py
@@ -13,6 +13,7 @@
 IDS = {
     "the request": attempts.REQUEST_ID,
     "another request": "r0",
+    "an earlier request": attempts.EARLIER_ID,
     "no request": "",
 }
 
@@ -62,6 +63,17 @@
     assert context.played.recorded == expected, context.played
 
 
+@when(
+    "an entry reads {count:d} refusals of an earlier request and then its own "
+    "answer"
+)
+def _(context, count):
+    refusal = _head(503, "an earlier request", not_run=True)
+    own = _head(200, "the request", not_run=False)
+    heads = [refusal] * count + [own]
+    context.played = attempts.play(*heads, exchanges=2)
+
+
 KINDS = {
     "a request that must not run twice": False,
     "an idempotent request": True,
--- a/features/steps/platform_answers_steps.py
+++ b/features/steps/platform_answers_steps.py
@@ -95,12 +95,12 @@
     return any(row.get("version") == version for row in made.log_lines("f1"))
 
 
-@then("the first is refused and the second is not, and the second ran once")
+@then("the first is refused and the second is served, and the second ran once")
 def _(context):
     first, second = context.answers
     assert first.status_code == 503, first
     assert len(context.cluster.runs_of(context.id)) == 1
-    assert second.status_code not in PROMISES, second
+    assert second.status_code == 200, second
 
 
 @then("the answer does not say that it has not run")
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -135,6 +135,9 @@
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.used = 0
         self._request_ids: set[str] = set()
+        self._method = b""
+        # Whether answers came on it that no request was waiting for.
+        self._has_surplus = False
         self._reactor = reactor
         self._monitor = monitor
         self._watch: Any = None
@@ -180,7 +183,7 @@
         """
         if self._busy or self._lost is not None:
             return False
-        if len(self._request_ids) >= MAX_REQUEST_IDS:
+        if self._has_surplus or len(self._request_ids) >= MAX_REQUEST_IDS:
             return False
         return not outgoing.unsent_bytes(self.transport)
 
@@ -221,6 +224,7 @@
         self.started_at = self._monitor.now()
         if self.watched:
             self._start_watch()
+        self._method = request.method
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD"):
             size = b"%d" % len(request.body)
@@ -263,6 +267,32 @@
             return None
         raise self._garbled()
 
+    async def skip_answer(self) -> None:
+        """Read over an answer to an earlier request; head() reads the next.
+
+        The connection is not reused after this exchange.
+
+        Raises:
+          ExchangeError: The answer is incomplete or malformed.
+        """
+        if self.ended_by_close:
+            raise self._garbled()
+        while not isinstance(event := await self._next(), h11.EndOfMessage):
+            self._consume(len(event.data))
+        self._has_surplus = True
+        rest, closed = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        # The parser reads an answer only after a request; the peer has it.
+        request = h11.Request(
+            method=self._method, target=b"/", headers=[(b"Host", b"")]
+        )
+        self._http.send(request)
+        self._http.send(h11.EndOfMessage())
+        if rest:
+            self._feed(rest)
+        if closed:
+            self._feed(b"", code=LOST)
+
     def abort(self, code: str = LOST) -> None:
         """Reset the connection; fail the exchange with a code."""
         if self._lost is None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/answer_origin.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/answer_origin.py
@@ -11,6 +11,7 @@
 import enum
 
 from ..adapters import base
+from ..exchange import connection
 
 
 class Origin(enum.Enum):
@@ -20,23 +21,29 @@
     OWN = "own"
     # A refusal without an id, which may be that of an earlier request.
     UNNAMED_REFUSAL = "unnamed-refusal"
+    # A second answer to an earlier request; the own one follows.
+    SURPLUS = "surplus-answer"
     # It has another id, or none although it is no refusal.
     FOREIGN = "foreign-answer"
 
 
-def of(head: base.AnswerHead, *, request_id: str, exchanges: int) -> Origin:
+def of(
+    head: base.AnswerHead, *, request_id: str, conn: connection.Connection
+) -> Origin:
     """Return the origin of an answer.
 
     Args:
       head: The head of the answer.
       request_id: Id of the request, which its connection has not carried
         before.
-      exchanges: Number of requests that the connection has carried.
+      conn: The connection.
     """
     if head.request_id:
-        same = head.request_id == request_id
-        return Origin.OWN if same else Origin.FOREIGN
+        if head.request_id == request_id:
+            return Origin.OWN
+        earlier = conn.has_carried(head.request_id)
+        return Origin.SURPLUS if earlier else Origin.FOREIGN
     if not head.not_run:
         return Origin.FOREIGN
     # A refusal may lack the id; only one request was there to refuse.
-    return Origin.OWN if exchanges == 1 else Origin.UNNAMED_REFUSAL
+    return Origin.OWN if conn.used == 1 else Origin.UNNAMED_REFUSAL
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -24,6 +24,8 @@
 EVENT_STREAM = b"text/event-stream"
 # Callers take these for the promise that a request has not run.
 PROMISES = frozenset((408, 421, 429, 503))
+# The own answer is awaited behind this many answers to earlier requests.
+MAX_SURPLUS_ANSWERS = 2
 # A longer answer is forwarded while it is read and can't be retried.
 MAX_BUFFERED_BYTES = 256 * 1024
 
@@ -106,8 +108,7 @@
     """
     context = active.context
     began = context.clock.monotonic()
-    head = context.dialect.answer(await active.conn.head())
-    _check_origin(active, head)
+    head = await _own_head(active)
     # Recorded before the body, which may take seconds to arrive.
     answer_facts.record(context.membership, active.upstream.start, head)
     if head.not_run:
@@ -170,39 +171,47 @@
     return active.lost(f"upstream-{head.status}")
 
 
-def _check_origin(active: ActiveAttempt, head: base.AnswerHead) -> None:
-    """Check that an answer is to this request.
+async def _own_head(active: ActiveAttempt) -> base.AnswerHead:
+    """Read the head of the answer to this request.
 
     Raises:
-      AttemptLostError: It may be to another one, so this one may have run;
-        the connection is aborted.
+      AttemptLostError: There is none; this request may have run, and the
+        connection is aborted.
+      ExchangeError: The connection failed.
     """
-    origin = answer_origin.of(
-        head, request_id=active.request.id, exchanges=active.conn.used
-    )
-    if origin is answer_origin.Origin.OWN:
-        return
-    _log_other_id(active, head)
+    for _ in range(1 + MAX_SURPLUS_ANSWERS):
+        head = active.context.dialect.answer(await active.conn.head())
+        origin = answer_origin.of(
+            head, request_id=active.request.id, conn=active.conn
+        )
+        if origin is answer_origin.Origin.OWN:
+            return head
+        _log_other_id(active, head, origin)
+        if origin is not answer_origin.Origin.SURPLUS:
+            break
+        await active.conn.skip_answer()
     active.conn.abort()
-    match origin:
-        case answer_origin.Origin.UNNAMED_REFUSAL:
-            answer_facts.record_restrictions(
-                active.context.membership, active.upstream.start, head
-            )
-        case answer_origin.Origin.FOREIGN:
-            active.context.record_failure(
-                active.name, view=active.request.view
-            )
+    if origin is answer_origin.Origin.UNNAMED_REFUSAL:
+        answer_facts.record_restrictions(
+            active.context.membership, active.upstream.start, head
+        )
+    else:
+        active.context.record_failure(active.name, view=active.request.view)
     raise active.lost(origin.value)
 
 
-def _log_other_id(active: ActiveAttempt, head: base.AnswerHead) -> None:
+def _log_other_id(
+    active: ActiveAttempt,
+    head: base.AnswerHead,
+    origin: answer_origin.Origin,
+) -> None:
     """Log an answer that does not have the id of the request."""
     LOG.warning(
         "An answer does not have the id of the request.",
         request=active.request.id,
         answered=head.request_id,
         upstream=active.upstream.start.key,
+        origin=origin.value,
         status=head.status,
         not_run=head.not_run,
         connection=active.conn.label,
