--- a/features/steps/suspension_beliefs_steps.py
+++ b/features/steps/suspension_beliefs_steps.py
@@ -110,10 +110,16 @@
 def _idle(clocks):
     controller = pool.Pool(reactor=task.Clock(), clock=clocks)
     idle = types.SimpleNamespace(
-        usable=True, address="a:1", keep_alive_s=4.0, abort=lambda: None
+        usable=True,
+        address="a:1",
+        opened_at=clocks.monotonic(),
+        keep_alive_s=4.0,
+        has_carried=lambda _request_id: False,
+        is_silent=lambda: True,
+        abort=lambda: None,
     )
     controller.release(idle)
-    return lambda: controller._pop_idle("a:1", None) is idle
+    return lambda: controller._pop_idle("a:1", None, "") is idle
 
 
 def _conviction(clocks):
--- a/packages/reelscale-core/src/reelscale_core/announcement.py
+++ b/packages/reelscale-core/src/reelscale_core/announcement.py
@@ -69,6 +69,16 @@
         return Start(self.name, self.born_ms)
 
 
+def has_changes(known: Announcement, item: Announcement) -> bool:
+    """Return whether an announcement is more than a heartbeat."""
+    return _lasting(known) != _lasting(item)
+
+
+def _lasting(item: Announcement) -> Announcement:
+    """Return an announcement without what changes with every heartbeat."""
+    return item._replace(cold_s=0.0, sequence=None)
+
+
 class Withdrawn(NamedTuple):
     """An upstream's announcement has been removed.
 
--- a/packages/reelscale-core/src/reelscale_core/relayout.py
+++ b/packages/reelscale-core/src/reelscale_core/relayout.py
@@ -49,6 +49,14 @@
     return _of_one_group(rows) and (len(numbers) == len(rows) == rows[0].size)
 
 
+def is_settled(by_name: Mapping[str, ranks.Rank]) -> bool:
+    """Return whether no change is in progress at any rank."""
+    return not any(
+        item.armed or item.held is not None or item.copying
+        for item in by_name.values()
+    )
+
+
 def missing_number(by_name: Mapping[str, ranks.Rank]) -> int | None:
     """Return the number of the missing rank, if exactly one is missing."""
     rows = list(by_name.values())
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -22,7 +22,7 @@
 
 from .. import logs, slices
 from ..adapters import base
-from . import follower
+from . import follower, log_checks, snapshots, state_dumps, state_waits
 
 LOG = logs.Logger("config")
 RETRY_S = 0.25
@@ -80,14 +80,13 @@
         self._links = links
         self.peers = set(peers)
         self._outage_logged = False
-        self._short_log_logged = False
-        self._cached_dump: tuple[states.State | None, str] = (None, "")
-        self._snapshot_every = snapshot_every
+        self._log_checks = log_checks.LogChecks()
+        self._dumps = state_dumps.StateDumps(reactor=reactor)
+        self._snapshots = snapshots.Snapshots(every=snapshot_every)
         self._poll_s = poll_s
         self._log_at = float("-inf")
-        self._last_snapshot = 0
         self._listeners: list[Callable[[states.State], None]] = []
-        self._waiters: list[tuple[Callable[[], Any], defer.Deferred]] = []
+        self._waits = state_waits.StateWaits(reactor=reactor)
         self._peer_lead_s = peer_lead_s
         self._pulling = False
         self._querying = False
@@ -195,7 +194,7 @@
         def verdict() -> states.Verdict | None:
             return self.state.verdicts_by_id.get(plan_id)
 
-        return await self._until(verdict, timeout_s)
+        return await self._waits.until(verdict, timeout_s)
 
     async def planned(self, plan_id: str, timeout_s: float) -> Any:
         """Wait until a plan is recorded; return None after the time-out."""
@@ -203,23 +202,7 @@
         def row() -> Any:
             return self.state.plans_by_id.get(plan_id)
 
-        return await self._until(row, timeout_s)
-
-    async def _until(self, find: Callable[[], Any], timeout_s: float) -> Any:
-        """Wait until a function of the state returns a value."""
-        value = find()
-        if value is not None:
-            return value
-        waiter: defer.Deferred = defer.Deferred()
-        pair = (find, waiter)
-        self._waiters.append(pair)
-        timeout = self._reactor.callLater(timeout_s, waiter.callback, None)
-        await waiter
-        if timeout.active():
-            timeout.cancel()
-        if pair in self._waiters:
-            self._waiters.remove(pair)
-        return find()
+        return await self._waits.until(row, timeout_s)
 
     def record_peer_offset(
         self, peer: str, offset: int, version: int = 0
@@ -261,49 +244,29 @@
         is_newer = state.version > (have_version or 0)
         if have_offset >= state.offset and not is_newer:
             return ttypes.StateReply(offset=state.offset, digest="", state=b"")
-        text = await self._dump(state)
+        text = await self._dumps.dump(state)
         return ttypes.StateReply(
             offset=state.offset,
             digest=states.digest(text),
             state=text.encode(),
         )
 
-    async def _dump(self, state: states.State) -> str:
-        """Return the dump of a state, cached for the newest one."""
-        if self._cached_dump[0] is not state:
-            text = await slices.run(self._reactor, states.dump_slices(state))
-            self._cached_dump = (state, text)
-        return self._cached_dump[1]
-
     async def _read(self, wait_s: float) -> None:
         from_offset = self.state.offset + 1
         got = await self._platform.read(from_offset, wait_s=wait_s)
         self._log_at = self._clock.monotonic()
         self._outage_logged = False
-        self._log_if_short(from_offset, got.head)
+        self._log_checks.check_end(self.state, from_offset, got.head)
         if got.oldest > self.state.offset + 1:
             await self._jump(got)
             return
         self._apply(fold.fold(self.state, got.rows))
-        self._record_snapshots(got.rows)
+        self._snapshots.record(got.rows)
         if self.state.offset + 1 >= got.head:
             self.ready = True
             self.gap = False
         await self._maybe_snapshot(got.oldest)
 
-    def _log_if_short(self, from_offset: int, head: int) -> None:
-        """Log once that the log ends below the offset read from."""
-        is_short = head < from_offset
-        if is_short and not self._short_log_logged:
-            LOG.error(
-                "The log ends below the offset reached; records are passed "
-                "over until it has grown.",
-                **position.decode(self.state.offset)._asdict(),
-                head=position.decode(head).offset,
-                version=self.state.version,
-            )
-        self._short_log_logged = is_short
-
     async def _jump(self, got: base.Rows) -> None:
         """Skip records that the log has dropped, by a snapshot."""
         rows: list[tuple[int, Any]] = []
@@ -324,17 +287,17 @@
                 oldest=got.oldest,
             )
             await self._query_peers(None)
-            await self._pause(1.0)
+            await task.deferLater(self._reactor, 1.0)
             return
         self.gap = False
         self._apply(fold.fold(newest, rows))
-        self._record_snapshots(rows)
+        self._snapshots.record(rows)
 
     def _apply(self, new: states.State) -> None:
         """Apply a state if it is newer."""
         if not self._is_behind(new.offset, new.version):
             return
-        self._log_if_restored(new)
+        self._log_checks.check_restored(self.state, new)
         self.state = new
         now = self._clock.monotonic()
         for name, lease in new.leases_by_name.items():
@@ -342,25 +305,7 @@
                 self.seen_by_lease[name] = (lease.offset, now)
         for listener in self._listeners:
             self._notify(listener, new)
-        for find, waiter in list(self._waiters):
-            if find() is not None and not waiter.called:
-                waiter.callback(None)
-
-    def _log_if_restored(self, new: states.State) -> None:
-        """Log that a state was read from a restored log."""
-        old = position.decode(self.state.offset)
-        now = position.decode(new.offset)
-        if old.offset < 0 or now.incarnation == old.incarnation:
-            return
-        LOG.warning(
-            "The log was restored from a copy; it was read anew, and the "
-            "newest version known stays in force.",
-            incarnation_before=old.incarnation,
-            incarnation=now.incarnation,
-            offset_before=old.offset,
-            offset=now.offset,
-            version=new.version,
-        )
+        self._waits.notify()
 
     def _notify(
         self, listener: Callable[[states.State], None], new: states.State
@@ -375,36 +320,23 @@
                 reason=failure.Failure().getTraceback(),
             )
 
-    def _record_snapshots(self, rows: list[tuple[int, Any]]) -> None:
-        for offset, data in rows:
-            if isinstance(data, dict) and data.get("kind") == "snapshot":
-                self._last_snapshot = offset
-
-    def _records_since_snapshot(self, oldest: int) -> int:
-        """Return the records after the last snapshot, or after a restore."""
-        at = position.decode(self.state.offset)
-        start = position.decode(max(self._last_snapshot, oldest - 1))
-        if at.incarnation != start.incarnation:
-            return at.offset
-        return at.offset - start.offset
-
     async def _maybe_snapshot(self, oldest: int) -> None:
         """Write a snapshot once enough records follow the last one.
 
         Every process may write it; a random delay makes duplicates rare, and
         they are harmless.
         """
-        if self._records_since_snapshot(oldest) < self._snapshot_every:
+        if not self._snapshots.is_due(self.state.offset, oldest):
             return
-        seen = self._last_snapshot
-        await self._pause(random.random() * 2)
+        seen = self._snapshots.last
+        await task.deferLater(self._reactor, random.random() * 2)
         got = await self._platform.read(self.state.offset + 1, wait_s=0)
         self._apply(fold.fold(self.state, got.rows))
-        self._record_snapshots(got.rows)
-        if self._last_snapshot != seen:
+        self._snapshots.record(got.rows)
+        if self._snapshots.last != seen:
             return
         state = self.state
-        text = await self._dump(state)
+        text = await self._dumps.dump(state)
         for part in snapshot.split_text(state.offset, text):
             await self._platform.append([part])
         LOG.info("Wrote a snapshot.", offset=state.offset)
@@ -465,6 +397,3 @@
             **position.decode(self.state.offset)._asdict(),
         )
         return True
-
-    async def _pause(self, seconds: float) -> None:
-        await task.deferLater(self._reactor, seconds)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -28,7 +28,7 @@
 from .. import logs, metrics
 from ..adapters import base
 from ..exchange import pool
-from . import follower, peer_lists, unusable, upstreams, usage
+from . import follower, list_outage, peer_lists, unusable, upstreams, usage
 from . import view as views
 
 LOG = logs.Logger("directory")
@@ -94,7 +94,7 @@
         self._update_offset = 0
         self._has_updates = False
         self._recovered_at = float("-inf")
-        self._down = False
+        self._outage = list_outage.ListOutage()
         self._stopped = False
         self._follower = follower.Follower(
             reactor=reactor,
@@ -119,7 +119,7 @@
 
     async def _on_down(self, down: error.CodedError) -> float:
         """Query peers while there is no list; return the next pause."""
-        self._record_down(down)
+        self._outage.record_down(down, upstreams=len(self.views_by_name))
         if not self.ready:
             self._apply_peer_page(await self._lists.ask_some())
         return RETRY_S * (1 + random.random())
@@ -159,7 +159,9 @@
         """Handle a peer's offset; fetch its list if this entry is behind."""
         if offset <= self.offset:
             return
-        lead_s = 0.0 if self._down or not self.ready else PEER_LEAD_TIMEOUT_S
+        lead_s = (
+            0.0 if self._outage.down or not self.ready else PEER_LEAD_TIMEOUT_S
+        )
         self._reactor.callLater(lead_s, self._pull_if_behind, peer, offset)
 
     def _pull_if_behind(self, peer: str, offset: int) -> None:
@@ -185,11 +187,12 @@
 
     async def _read(self) -> None:
         """Read the list, or its changes since the last read."""
-        long_poll = self.ready and not self._down
+        long_poll = self.ready and not self._outage.down
         wait_s = self._poll_s() if long_poll else 0.0
         from_offset = self._next
         page = await self._roster.read(from_offset, wait_s=wait_s)
-        self._record_up()
+        if self._outage.record_up():
+            self._recovered_at = self._clock.monotonic()
         if self._next == from_offset or page.next_offset > self._next:
             # Otherwise a peer's newer list has been applied meanwhile.
             self._apply_page(page)
@@ -322,7 +325,11 @@
 
     def _update_view(self, item: announcement.Announcement) -> None:
         view = self.views_by_name.get(item.name)
-        if view is None or view.gone or _has_changes(view.upstream, item):
+        if (
+            view is None
+            or view.gone
+            or announcement.has_changes(view.upstream, item)
+        ):
             self._has_updates = True
         if view is None:
             view = self._new_view(item)
@@ -386,30 +393,3 @@
         self._connections.close_idle(upstream.address)
         if not view.local_in_flight:
             del self.views_by_name[name]
-
-    def _record_down(self, down: error.CodedError) -> None:
-        if not self._down:
-            LOG.warning(
-                "The list of upstreams cannot be read; using the last one.",
-                upstreams=len(self.views_by_name),
-                reason=down.detail,
-            )
-        self._down = True
-
-    def _record_up(self) -> None:
-        if self._down:
-            self._down = False
-            self._recovered_at = self._clock.monotonic()
-            LOG.info("The list of upstreams can be read again.")
-
-
-def _has_changes(
-    known: announcement.Announcement, item: announcement.Announcement
-) -> bool:
-    """Return whether an announcement is more than a heartbeat."""
-    return _lasting(known) != _lasting(item)
-
-
-def _lasting(item: announcement.Announcement) -> announcement.Announcement:
-    """Return an announcement without what changes with every heartbeat."""
-    return item._replace(cold_s=0.0, sequence=None)
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/group.py
@@ -10,13 +10,23 @@
 
 import math
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
-from reelscale_core import clock, error, rank, relayout, starts
+from reelscale_core import clock, error, rank, relayout
 
 from .. import logs
 from ..adapters import base
-from . import arming, follower, holds, members, rank_reports, reach
+from . import (
+    arming,
+    fenced,
+    follower,
+    holds,
+    layout_choice,
+    layout_versions,
+    members,
+    rank_reports,
+    reach,
+)
 
 LOG = logs.Logger("group")
 # Interval between checks of all ranks, in seconds.  Demand shifts within
@@ -29,8 +39,6 @@
 # Fraction of slots in use from which the layout is adapted.  A group that is
 # full before a change is made stays slow.
 BUSY_FRACTION = 0.25
-# Distance between the first layout versions of consecutive fences.
-VERSIONS_PER_FENCE = 1000
 # Rounds of orders that cancel a change; each order may be lost a few times.
 MAX_CANCEL_ROUNDS = 8
 # Consecutive rounds of orders without a pause.
@@ -41,20 +49,6 @@
 STOP_TIMEOUT_S = 2.0
 
 
-class _Fenced(NamedTuple):
-    """The ranks that refuse earlier holders.
-
-    Attributes:
-      fence: Orders with a lower fence are refused.
-      epoch: The epoch of the group.
-      started_ms: Start time of each rank; a restarted rank loses its fence.
-    """
-
-    fence: int
-    epoch: int
-    started_ms: Mapping[str, int | None]
-
-
 class Group:
     """Manages the layout of a group while this agent holds its lease."""
 
@@ -94,9 +88,12 @@
         self._busy = False
         self._limits: base.EngineLimits | None = None
         self._desired: relayout.DesiredLayout | None = None
-        self._fenced: _Fenced | None = None
+        self._fenced: fenced.Fenced | None = None
         self._refused_fence = -1
-        self._newest_version = 0
+        self._versions = layout_versions.LayoutVersions()
+        self._choice = layout_choice.LayoutChoice(
+            ranks=ranks, versions=self._versions
+        )
         self._holds = holds.Holds()
         self._arming = arming.Arming(clock=clock)
         self._stopped = False
@@ -231,7 +228,7 @@
             if not self._is_fenced(by_name, epoch):
                 # A rank restarted meanwhile and lost the fence.
                 return
-        if self._desired is None and _is_settled(by_name):
+        if self._desired is None and relayout.is_settled(by_name):
             if self._finish_only:
                 LOG.info("Completed a change.", fence=self._fence, epoch=epoch)
                 self._fence, self._finish_only = None, False
@@ -246,7 +243,11 @@
         await self.learn_limits()
         self._require_fence()
         self._busy = self._is_busy(by_name)
-        self._desired = self._better_layout(by_name) if self._busy else None
+        self._desired = (
+            self._choice.choose(by_name, self._limits, fence=self._fence)
+            if self._busy
+            else None
+        )
 
     async def _cancel_change(self, by_name: dict[str, rank.Rank]) -> None:
         """Cancel a change whose holder and rank are unresponsive."""
@@ -277,8 +278,8 @@
 
     def _is_fenced(self, by_name: Mapping[str, rank.Rank], epoch: int) -> bool:
         """Return whether these starts of all ranks refuse earlier holders."""
-        return self._fenced == _Fenced(
-            self._fence, epoch, _start_times(by_name)
+        return self._fenced == fenced.Fenced(
+            self._fence, epoch, fenced.start_times(by_name)
         )
 
     async def _fence_earlier_holders(
@@ -286,12 +287,14 @@
     ) -> bool:
         """Fence off earlier holders at every rank; return whether all did."""
         self._desired = None
-        order = rank.Fence(self._next_version(by_name))
+        order = rank.Fence(self._versions.next(self._fence, by_name))
         orders = dict.fromkeys(by_name, order)
         outcomes, _ = await self._send(orders, epoch)
         if any(item != rank.Outcome.TAKEN for item in outcomes.values()):
             return False
-        self._fenced = _Fenced(self._fence, epoch, _start_times(by_name))
+        self._fenced = fenced.Fenced(
+            self._fence, epoch, fenced.start_times(by_name)
+        )
         LOG.info(
             "All ranks refuse earlier holders.", fence=self._fence, epoch=epoch
         )
@@ -316,7 +319,7 @@
             outcomes, reported = await self._send(orders, epoch)
             if rank.Outcome.FENCED in outcomes.values():
                 return
-            if _any_restarted(by_name, reported):
+            if fenced.any_restarted(by_name, reported):
                 LOG.warning("A rank restarted.", epoch=epoch)
                 return
             by_name = {**by_name, **reported}
@@ -371,31 +374,6 @@
         fraction = len(by_name) / max(1, len(self._members.by_name))
         return running >= BUSY_FRACTION * self._members.slots * fraction
 
-    def _better_layout(
-        self, by_name: Mapping[str, rank.Rank]
-    ) -> relayout.DesiredLayout | None:
-        """Return a layout that is worth the change; None if there is none."""
-        better = self._ranks.choose(by_name, self._limits)
-        if better is None:
-            return None
-        version = self._next_version(by_name)
-        LOG.info(
-            "Chose a better layout.",
-            version=version,
-            skew_before=round(better.skew_before, 3),
-            skew_after=round(better.skew_after, 3),
-            loaded=better.loaded,
-        )
-        return relayout.DesiredLayout(version, better.table)
-
-    def _next_version(self, by_name: Mapping[str, rank.Rank]) -> int:
-        """Return a version that no rank has seen."""
-        seen = [item.version for item in by_name.values()]
-        seen += [item.prepared or 0 for item in by_name.values()]
-        first = self._fence * VERSIONS_PER_FENCE
-        self._newest_version = max(*seen, first, self._newest_version) + 1
-        return self._newest_version
-
     async def _send(
         self, orders: Mapping[str, rank.Order], epoch: int
     ) -> tuple[dict[str, rank.Outcome], dict[str, rank.Rank]]:
@@ -424,26 +402,3 @@
             member, order, fence=self._round_fence, epoch=epoch
         )
         return name, outcome, reported
-
-
-def _start_times(by_name: Mapping[str, rank.Rank]) -> dict[str, int | None]:
-    """Return the start time of each rank."""
-    return {name: item.born_ms for name, item in by_name.items()}
-
-
-def _any_restarted(
-    before: Mapping[str, rank.Rank], now: Mapping[str, rank.Rank]
-) -> bool:
-    """Return whether a rank reports another start than before."""
-    return any(
-        starts.are_distinct(before[name].born_ms, item.born_ms)
-        for name, item in now.items()
-    )
-
-
-def _is_settled(by_name: Mapping[str, rank.Rank]) -> bool:
-    """Return whether no change is in progress at any rank."""
-    return not any(
-        item.armed or item.held is not None or item.copying
-        for item in by_name.values()
-    )
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -10,7 +10,6 @@
 
 import collections
 import re
-import socket
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -18,7 +17,7 @@
 from reelscale_wire import outgoing
 from twisted.internet import defer, error, protocol
 
-from . import liveness
+from . import liveness, tcp
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -30,16 +29,8 @@
 # An idle connection is not reused this close to the peer's idle time-out,
 # since the peer may already be closing it.
 KEEP_ALIVE_MARGIN_S = 0.5
-# TCP_USER_TIMEOUT, to detect a peer that has lost power.
-UNACKNOWLEDGED_TIMEOUT_MS = 3000
-# TCP keep-alive of an idle connection.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
 # Error code of an exchange whose connection ended before its answer did.
 LOST = "lost"
-# Error code of an exchange whose connection stopped responding.
-UNRESPONSIVE = "silent"
 # A connection is closed after it has carried this many named requests, which
 # bounds the memory for their ids.
 MAX_REQUEST_IDS = 1000
@@ -140,7 +131,9 @@
         self._has_surplus = False
         self._reactor = reactor
         self._monitor = monitor
-        self._watch: Any = None
+        self._watch = liveness.Watch(
+            reactor=reactor, monitor=monitor, watched=self
+        )
         self._on_lost = on_lost
         self._http = h11.Connection(h11.CLIENT)
         self._busy = False
@@ -152,16 +145,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.setTcpKeepAlive(True)
-        handle = self.transport.getHandle()
-        for option, value in (
-            (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
-            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-            (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        ):
-            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+        tcp.set_options(self.transport)
 
     @property
     def age_s(self) -> float:
@@ -193,13 +177,7 @@
         The peer may have sent them while this process was busy or stopped;
         they would be read as the answer to the next request.
         """
-        try:
-            self.transport.getHandle().recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return tcp.is_silent(self.transport)
 
     def has_carried(self, request_id: str) -> bool:
         """Return whether a request with an id was sent on it before.
@@ -223,7 +201,7 @@
         self.answer_started = False
         self.started_at = self._monitor.now()
         if self.watched:
-            self._start_watch()
+            self._watch.start()
         self._method = request.method
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD"):
@@ -309,7 +287,7 @@
             return
         if not self.answer_started:
             self.answer_started = True
-            self._stop_watch()
+            self._watch.stop()
             self._monitor.record_first_byte(self)
         self._feed(data)
 
@@ -321,32 +299,6 @@
             self._fail(LOST)
         self._on_lost(self)
 
-    def _start_watch(self) -> None:
-        """Schedule the liveness check of the exchange."""
-        first_byte_timeout_s = self._monitor.first_byte_timeout_s(self.address)
-        self._watch = self._reactor.callLater(
-            first_byte_timeout_s, self._schedule_check
-        )
-
-    def _schedule_check(self) -> None:
-        """Let the reactor read pending data before the check.
-
-        After a stall of the process, timers run before the sockets are read.
-        """
-        self._watch = self._reactor.callLater(0, self._check_liveness)
-
-    def _check_liveness(self) -> None:
-        self._watch = None
-        if self._monitor.should_abort(self):
-            self.abort(UNRESPONSIVE)
-        else:
-            self._start_watch()
-
-    def _stop_watch(self) -> None:
-        timer, self._watch = self._watch, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
     def _feed(self, data: bytes, code: str = "garbled") -> None:
         """Parse bytes; fail with the code if they are no valid HTTP."""
         try:
@@ -413,7 +365,7 @@
             self.keep_alive_s = float(match.group(1))
 
     def _fail(self, code: str) -> None:
-        self._stop_watch()
+        self._watch.stop()
         self._lost = ExchangeError(code, peer=self.address, written=self._busy)
         self._wake()
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/liveness.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/liveness.py
@@ -11,7 +11,7 @@
 
 import collections
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from reelscale_core import clock
 
@@ -33,6 +33,10 @@
 SUSPICION_EXPIRY_S = 10.0
 
 
+# Error code of an exchange whose connection stopped responding.
+UNRESPONSIVE = "silent"
+
+
 class Watched(Protocol):
     """The fields of a connection that the monitor reads."""
 
@@ -40,6 +44,10 @@
     opened_at: float
     started_at: float
 
+    def abort(self, code: str) -> None:
+        """Reset the connection; fail the exchange with a code."""
+        ...
+
 
 class Confirmation(NamedTuple):
     """A confirmed suspicion.
@@ -128,3 +136,40 @@
             self._confirmation_by_address,
         ):
             by_address.pop(address, None)
+
+
+class Watch:
+    """Checks one connection again and again until its answer begins."""
+
+    def __init__(
+        self, *, reactor: Any, monitor: Monitor, watched: Watched
+    ) -> None:
+        self._reactor = reactor
+        self._monitor = monitor
+        self._watched = watched
+        self._timer: Any = None
+
+    def start(self) -> None:
+        """Schedule the next check."""
+        timeout_s = self._monitor.first_byte_timeout_s(self._watched.address)
+        self._timer = self._reactor.callLater(timeout_s, self._schedule_check)
+
+    def stop(self) -> None:
+        """Cancel the next check."""
+        timer, self._timer = self._timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _schedule_check(self) -> None:
+        """Let the reactor read pending data before the check.
+
+        After a stall of the process, timers run before the sockets are read.
+        """
+        self._timer = self._reactor.callLater(0, self._check)
+
+    def _check(self) -> None:
+        self._timer = None
+        if self._monitor.should_abort(self._watched):
+            self._watched.abort(UNRESPONSIVE)
+        else:
+            self.start()
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from .. import logs
-from ..exchange import connection
+from ..exchange import connection, liveness
 from . import attempt, call, direct_answer, suspect, writer
 from . import context as contexts
 
@@ -190,7 +190,7 @@
     if active.abort_code:
         return _expired(active)
     active.context.record_failure(active.name, view=active.request.view)
-    if lost.written and lost.code != connection.UNRESPONSIVE:
+    if lost.written and lost.code != liveness.UNRESPONSIVE:
         active.record_lost()
     return attempt.AttemptLostError(
         lost.code, peer=active.name, not_run=not lost.written
