--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*) platform
 
-.PHONY: setup demo test test-processes lint bench soak soak-restore soak-parts generate
+.PHONY: setup demo test test-processes lint bench soak soak-restore soak-parts soak-platform generate
 
 setup: $(STAMP)
 
@@ -39,6 +39,9 @@
 soak-parts: setup
 	$(BIN)/python -m standins.soak_parts --seeds $(or $(SEEDS),5) --seed $(or $(SEED),1)
 
+soak-platform: setup
+	$(BIN)/python -m standins.soak_platform --seeds $(or $(SEEDS),5) --seed $(or $(SEED),1)
+
 # Needs the thrift compiler; its output is committed.
 generate:
 	cd packages/reelscale-wire && thrift -r --gen py:twisted -out src reelscale.thrift
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,5 @@
+Feature: All faults at once break no rule
+
+  Scenario: Entries, store and workers are harmed in series that overlap
+    When a seeded soak of all faults runs for 20 s
+    Then it breaks no rule
--- /dev/null
+++ b/standins/soak_platform.py
@@ -0,0 +1,368 @@
+"""Runs entries on the platform's stand-ins beside all faults, in series.
+
+Usage: python -m standins.soak_platform --seconds 40 --seed 1 --seeds 5, or
+with --limits, which has as many processes as a small box bears.  Callers use
+their connections until an entry is gone.  Faults begin and end at random and
+overlap: entries stop, reload, are killed and freeze; the store is down, slow,
+loses answers and is restored; workers leave and return, refuse, fail, and
+send answers twice.  The exit status is 0 only if every rule was kept.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import argparse
+import collections
+import random
+import signal
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+import httpx
+
+from . import fleet, kept_callers
+from .process import wait_for
+
+# Statuses that promise that a request has not run.
+PROMISES = (408, 421, 429, 503)
+# From an acknowledged leaving until a worker gets nothing more, in seconds.
+DRAIN_S = 2.0
+# How long a fault may excuse what follows it, in seconds.
+CONTACT_S = 3.0
+# Requests whose connection a stopping entry may close unanswered.
+MAX_LOST = 3
+# After all faults, within which requests are served again, in seconds.
+RECOVERY_S = 12.0
+MIN_RECOVERED = 0.25
+# Faults after which an entry stays bound by what it was told.
+NO_EXCUSES = ("leaving", "answers twice", "configuration", "reload")
+MAX_PAUSE_S = 1.5
+MAX_FAULT_S = 3.0
+STOP_S = 10.0
+
+
+class Shape(NamedTuple):
+    """The processes of a run."""
+
+    entries: int
+    workers: int
+    callers: int
+
+
+USUAL = Shape(entries=2, workers=4, callers=12)
+LIMITS = Shape(entries=8, workers=24, callers=64)
+
+
+class Fault(NamedTuple):
+    """One fault that was brought about.
+
+    Attributes:
+      kind: Its name.
+      subject: The entry or worker, "" for the store.
+      from_s: Monotonic seconds of its begin.
+      to_s: Monotonic seconds of its end.
+    """
+
+    kind: str
+    subject: str
+    from_s: float
+    to_s: float
+
+    def affects(self, first: float, last: float) -> bool:
+        """Return whether it may excuse what happened in a time."""
+        return self.from_s <= last and first <= self.to_s + CONTACT_S
+
+
+class Soak:
+    """One run.
+
+    Attributes:
+      faults: The faults so far.
+      count: How often each kind was brought about.
+    """
+
+    def __init__(self, made: fleet.Fleet, seed: int) -> None:
+        self.faults: list[Fault] = []
+        self.count: collections.Counter[str] = collections.Counter()
+        self._made = made
+        self._seed = seed
+        self._until = 0.0
+        self._busy: set[str] = set()
+        self._lock = threading.Lock()
+
+    def run(self, seconds: float) -> None:
+        """Bring faults of the entries, store and workers about at once."""
+        self._until = time.monotonic() + seconds
+        series = (
+            self._harm_entries,
+            self._harm_entries,
+            self._harm_store,
+            self._harm_workers,
+            self._move_workers,
+            self._configure,
+        )
+        threads = [
+            threading.Thread(
+                target=self._repeat,
+                args=(item, random.Random(self._seed * 100 + number)),
+            )
+            for number, item in enumerate(series)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _repeat(self, harm, source: random.Random) -> None:
+        while time.monotonic() < self._until:
+            try:
+                harm(source)
+            except httpx.HTTPError:
+                # The store or the worker is away by another fault.
+                self.count["not possible"] += 1
+            time.sleep(source.uniform(0.1, MAX_PAUSE_S))
+
+    def _note(self, kind: str, subject: str, from_s: float) -> None:
+        self.count[kind] += 1
+        row = Fault(kind, subject, from_s, time.monotonic())
+        self.faults.append(row)
+
+    def _claim(self, source: random.Random, names: list[str]) -> str:
+        """Take a process that no other series works on, "" if none is free."""
+        with self._lock:
+            free = sorted(set(names) - self._busy)
+            name = source.choice(free) if free else ""
+            self._busy.add(name)
+        return name
+
+    def _harm_entries(self, source: random.Random) -> None:
+        name = self._claim(source, list(self._made.http))
+        if not name:
+            return
+        acts = (self._stop, self._stop, self._kill, self._freeze, self._reload)
+        act, began = source.choice(acts), time.monotonic()
+        try:
+            act(name, source)
+        finally:
+            self._note(act.__name__.strip("_"), name, began)
+            self._busy.discard(name)
+
+    def _stop(self, name: str, _source: random.Random) -> None:
+        process = self._made.processes[name]
+        process.signal(signal.SIGTERM)
+        wait_for(lambda: not process.running, f"{name} to end", STOP_S)
+        process.start()
+        self._made.wait_ready(name)
+
+    def _kill(self, name: str, source: random.Random) -> None:
+        process = self._made.processes[name]
+        process.kill()
+        time.sleep(source.uniform(0.0, 0.5))
+        process.start()
+        self._made.wait_ready(name)
+
+    def _freeze(self, name: str, source: random.Random) -> None:
+        self._made.processes[name].freeze()
+        time.sleep(source.uniform(0.1, MAX_FAULT_S))
+        self._made.processes[name].thaw()
+
+    def _reload(self, name: str, source: random.Random) -> None:
+        for _ in range(source.randrange(1, 4)):
+            self._made.processes[name].signal(signal.SIGHUP)
+            time.sleep(source.uniform(0.0, 0.1))
+
+    def _harm_store(self, source: random.Random) -> None:
+        began = time.monotonic()
+        kind = source.choice(("down", "slow", "lose", "restore"))
+        seconds = source.uniform(0.2, MAX_FAULT_S)
+        try:
+            match kind:
+                case "down":
+                    how = source.choice(("silent", "busy", "reset"))
+                    self._made.control(down=how)
+                    time.sleep(seconds)
+                    self._made.control(down="")
+                case "slow":
+                    self._made.control(slow_s=source.uniform(0.05, 0.4))
+                    time.sleep(seconds)
+                    self._made.control(slow_s=0.0)
+                case "lose":
+                    self._made.control(lose_answers=2)
+                case "restore":
+                    self._made.control(restore={"behind_s": seconds})
+        finally:
+            self._note(f"store {kind}", "", began)
+
+    def _harm_workers(self, source: random.Random) -> None:
+        """Have faulty workers refuse, and send answers twice."""
+        began = time.monotonic()
+        faulty = [
+            n for n, (_, hall) in self._made.workers.items() if hall == "a"
+        ]
+        name = source.choice(faulty)
+        fault = {
+            "shed_share": source.choice((0.0, 0.3)),
+            "surplus_share": source.choice((0.03, 0.2)),
+            "unnamed_share": source.choice((0.0, 0.5)),
+        }
+        self._made.control_worker(name, **fault)
+        time.sleep(source.uniform(0.5, MAX_FAULT_S))
+        self._made.control_worker(name, **dict.fromkeys(fault, 0.0))
+        self._note("answers twice", name, began)
+
+    def _move_workers(self, source: random.Random) -> None:
+        """Have a sound worker leave, and return under its id."""
+        sound = [
+            n for n, (_, hall) in self._made.workers.items() if hall == "b"
+        ]
+        name = source.choice(sound)
+        if source.random() < 0.5:
+            self._made.announce(name, state="draining")
+        else:
+            self._made.withdraw(name)
+        left_at = time.monotonic()
+        time.sleep(DRAIN_S + source.uniform(0.5, MAX_FAULT_S))
+        self._note("leaving", name, left_at)
+        self._made.announce(name)
+
+    def _configure(self, source: random.Random) -> None:
+        began = time.monotonic()
+        for _ in range(source.randrange(1, 4)):
+            self._made.change()
+        self._note("configuration", "", began)
+
+
+def broken_rules(
+    made: fleet.Fleet, soak: Soak, sent: list[kept_callers.Sent]
+) -> list[str]:
+    """Return what was broken, in words."""
+    runs = collections.Counter(run["id"] for run in made.ledger())
+    broken = []
+    for row in sent:
+        ran = runs[row.id]
+        if row.kind == "push" and row.status in PROMISES and ran:
+            broken.append(f"REFUSED: {row.id} got {row.status} and has run")
+        if row.kind == "push" and ran > 1:
+            broken.append(f"TWICE: {row.id} ran {ran} times")
+        if row.status == 200 and row.body is not None and not _is_right(row):
+            broken.append(f"MIXED: {row.id} got {row.body[:60]!r}")
+    lost = [row for row in sent if _is_lost(row, runs, soak.faults)]
+    if len(lost) > MAX_LOST:
+        ids = [row.id for row in lost]
+        broken.append(f"LOST: {len(lost)} without an answer: {ids[:5]}")
+    return broken + late_arrivals(made, soak.faults)
+
+
+def _is_right(row: kept_callers.Sent) -> bool:
+    """Return whether a complete answer is the request's own."""
+    if row.kind == "chat":
+        wanted = "".join(
+            f"id: {number}\ndata: {text}\n\n"
+            for number, text in enumerate(fleet.STREAM, 1)
+        )
+        return row.body == wanted.encode()
+    return row.body == f"whole answer of {row.id}".encode()
+
+
+def _is_lost(
+    row: kept_callers.Sent,
+    runs: collections.Counter[str],
+    faults: list[Fault],
+) -> bool:
+    """Return whether an answer was lost although only a stop was planned."""
+    if row.status or not runs[row.id] or row.kind == "chat":
+        return False
+    excuses = ("kill", "freeze")
+    return not any(
+        fault.kind in excuses
+        and fault.subject == row.entry
+        and fault.affects(row.at, row.ended_at)
+        for fault in faults
+    )
+
+
+def late_arrivals(made: fleet.Fleet, faults: list[Fault]) -> list[str]:
+    """Return arrivals at workers that had left, where nothing excuses them.
+
+    While the store is impaired its acknowledgement counts for nothing, and an
+    entry that was impaired is not in touch.
+    """
+    broken = []
+    impaired = [f for f in faults if f.kind not in NO_EXCUSES]
+    for fault in faults:
+        if fault.kind != "leaving":
+            continue
+        late_s = fault.from_s + DRAIN_S
+        arrivals = [
+            row["at"]
+            for row in made.worker(fault.subject)["reached"]
+            if row["id"] and late_s < row["at"] < fault.to_s
+        ]
+        unexcused = [
+            at
+            for at in arrivals
+            if not any(f.affects(fault.from_s, at) for f in impaired)
+        ]
+        if unexcused:
+            broken.append(f"DRAIN: {len(unexcused)} at {fault.subject}")
+    return broken
+
+
+def recovered(made: fleet.Fleet) -> list[str]:
+    """Return the kinds of request that entries do not serve again in time."""
+    time.sleep(RECOVERY_S)
+    broken = []
+    for entry in made.http:
+        for kind in kept_callers.WORDS_BY_KIND:
+            answers = [made.ask(f"/{kind}/x", entry=entry) for _ in range(8)]
+            served = sum(row.is_success for row in answers)
+            if served < MIN_RECOVERED * len(answers):
+                broken.append(f"RECOVER: {entry} served {served} of {kind}")
+    return broken
+
+
+def run(seed: int, seconds: float, shape: Shape = USUAL) -> list[str]:
+    """Run one seed; return what was broken."""
+    halls = ("a", "b")
+    workers = tuple(
+        (("llm", "push")[number // 2 % 2], halls[number % 2])
+        for number in range(shape.workers)
+    )
+    settings = {"stop_wait_s": 0.3}
+    with fleet.Fleet(
+        entries=shape.entries, workers=workers, settings=settings
+    ) as made:
+        soak = Soak(made, seed)
+        callers = kept_callers.Callers(made, count=shape.callers, seed=seed)
+        with callers:
+            soak.run(seconds)
+        made.control(down="", slow_s=0.0, lose_answers=0)
+        for name in made.workers:
+            made.announce(name)
+        broken = broken_rules(made, soak, callers.sent) + recovered(made)
+        if broken:
+            made.print_logs()
+    statuses = collections.Counter(row.status for row in callers.sent)
+    print(f"seed {seed}: {dict(soak.count)}, {dict(statuses)}: {broken}")
+    return broken
+
+
+def main() -> int:
+    """Run the seeds; return the exit status."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--limits", action="store_true")
+    given = parser.parse_args()
+    seeds = range(given.seed, given.seed + given.seeds)
+    shape = LIMITS if given.limits else USUAL
+    broken = [seed for seed in seeds if run(seed, given.seconds, shape)]
+    print(f"{len(seeds) - len(broken)} of {len(seeds)} seeds kept all rules")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -11,6 +11,7 @@
 __license__ = "Apache-2.0"
 
 import json
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -35,6 +36,12 @@
         self.slots = settings.get("slots", 6)
         self.faulty = settings.get("faulty", True)
         self.limit = ""
+        # Shares of requests that it refuses, of refusals that lack the id,
+        # and of answers that it sends twice, the second time late.
+        self.shed_share = 0.0
+        self.unnamed_share = 0.0
+        self.surplus_share = 0.0
+        self.random = random.Random(settings["id"])
         # With this it refuses all that arrives, "" to refuse nothing.
         self.retry_after = ""
         # Whether its answers say that it is about to end.
@@ -140,22 +147,7 @@
             self.whole(json.dumps(ledger).encode())
             return
         if path == "/control":
-            data = json.loads(self.body or b"{}")
-            self.worker.faulty = data.get("faulty", self.worker.faulty)
-            self.worker.limit = data.get("limit", self.worker.limit)
-            self.worker.leaving = data.get("leaving", self.worker.leaving)
-            self.worker.retry_after = data.get(
-                "retry_after", self.worker.retry_after
-            )
-            self.worker.prefill_s = data.get(
-                "prefill_s", self.worker.prefill_s
-            )
-            self.worker.crashes.control(data)
-            if data.get("shed"):
-                self.shed_undecided()
-            if data.get("crash"):
-                self.worker.crashes.crash(self.worker)
-            self.whole(b"{}")
+            self.control(json.loads(self.body or b"{}"))
             return
         if self.surplus:
             self.transport.write(self.surplus)
@@ -167,6 +159,9 @@
         if wanted and wanted != self.worker.id:
             self.head(421, [("Instance-Id", self.worker.id)], b"")
             return
+        if self.worker.random.random() < self.worker.shed_share:
+            worker_faults.shed(self)
+            return
         act = worker_faults.FAULTS.get(self.word())
         if self.word() not in NOT_RUN:
             self.note_run()
@@ -179,6 +174,25 @@
         else:
             self.whole(self.text())
 
+    def control(self, data: dict[str, Any]) -> None:
+        """Change what the worker does, as a test asks."""
+        self.worker.faulty = data.get("faulty", self.worker.faulty)
+        self.worker.limit = data.get("limit", self.worker.limit)
+        self.worker.leaving = data.get("leaving", self.worker.leaving)
+        self.worker.retry_after = data.get(
+            "retry_after", self.worker.retry_after
+        )
+        for share in SHARES:
+            value = data.get(share, getattr(self.worker, share))
+            setattr(self.worker, share, value)
+        self.worker.prefill_s = data.get("prefill_s", self.worker.prefill_s)
+        self.worker.crashes.control(data)
+        if data.get("shed"):
+            self.shed_undecided()
+        if data.get("crash"):
+            self.worker.crashes.crash(self.worker)
+        self.whole(b"{}")
+
     def note_reached(self) -> None:
         """Write down that the head of a request is here."""
         if self.request.target not in OWN_PATHS:
@@ -224,8 +238,12 @@
         self, status: int, more: list[tuple[str, str]], request_id: str = ""
     ) -> bytes:
         """Return the head of an answer as bytes."""
+        own = [("Request-Id", request_id or self.header("request-id"))]
+        refuses = any(name == "Not-Executed" for name, _ in more)
+        if refuses and self.worker.random.random() < self.worker.unnamed_share:
+            own = []
         rows = [
-            ("Request-Id", request_id or self.header("request-id")),
+            *own,
             ("Response-Stamp", f"stamp-{self.worker.id}"),
             ("Server-Load", f"0,0,{self.worker.slots}"),
             *more,
@@ -243,7 +261,12 @@
     ) -> None:
         """Write an answer in one piece and get ready for the next."""
         more = [*more, ("Content-Length", str(len(body)))]
-        self.transport.write(self.head_lines(status, more) + body)
+        answer = self.head_lines(status, more) + body
+        self.transport.write(answer)
+        # What tests ask of the worker is no request.
+        asked = self.request.target not in OWN_PATHS
+        if asked and self.worker.random.random() < self.worker.surplus_share:
+            self.surplus = answer
         self.next()
 
     def whole(self, body: bytes) -> None:
@@ -323,6 +346,8 @@
             piece(start + 1)
 
 
+# Shares that tests may set.
+SHARES = ("shed_share", "unnamed_share", "surplus_share")
 # Paths by which tests ask a worker, and words that are no runs.
 OWN_PATHS = (b"/ledger", b"/control")
 NOT_RUN = ("shed", "undecided", "shed-surplus", "shed-surplus-once")
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -125,7 +125,13 @@
     more = [("Content-Length", str(len(body)))]
     channel.transport.write(channel.head_lines(200, more) + body)
     other = channel.head_lines(200, more, "ffffffffffffffff") + body
-    reactor.callLater(0.02, channel.transport.write, other)
+
+    def send_late() -> None:
+        # Behind an answer that ends with the connection it would be its body.
+        if not channel.transport.disconnecting:
+            channel.transport.write(other)
+
+    reactor.callLater(0.02, send_late)
     channel.next()
 
 
