--- a/features/steps/platform_entries_steps.py
+++ b/features/steps/platform_entries_steps.py
@@ -4,6 +4,7 @@
 __license__ = "Apache-2.0"
 
 import ipaddress
+import itertools
 import json
 import re
 
@@ -29,13 +30,18 @@
     assert context.listing.listed() == {"other", one, two}
 
 
+# The first records of the list have 1.
+SEQUENCE = itertools.count(2)
+
+
 def _write(context, name, value):
     context.listing.write(name, value)
     context.listing.pass_time(1)
 
 
 def _entry(field, value):
-    data = json.loads(fakes.entry())
+    # Numbers rise with each record of an upstream.
+    data = json.loads(fakes.entry(seq=next(SEQUENCE)))
     if value == NOTHING:
         del data[field]
     else:
@@ -223,8 +229,8 @@
 @when('the heartbeat of "{name}" is written {count:d} times')
 def _(context, name, count):
     context.advertised = context.listing.directory.update_offset
-    for seq in range(count):
-        _write(context, name, _entry("seq", str(seq)))
+    for _ in range(count):
+        _write(context, name, _entry("seq", str(next(SEQUENCE))))
 
 
 @when('"{name}" is withdrawn from the list')
