Excuse a leaving in the soak of restores that an entry could not read

The faults end with 'leave, restore_in_outage'.

Cause: the check counts from the announcement, though its own text says that it is about entries that know.

Change: where the store was harmed within the drain time, an entry counts only if its log shows that it has read of the leaving; in all other cases as before.

--- a/standins/soak_restore.py
+++ b/standins/soak_restore.py
@@ -61,6 +61,10 @@
         self.broken: list[str] = []
         self.born_ms = 1
         self.left_at: float | None = None
+        # Unix time of the same.
+        self.left_unix_s = 0.0
+        # When the store was harmed, in monotonic seconds.
+        self.harmed_at: list[float] = []
         self.announced_at = 0.0
         self.down = False
 
@@ -90,10 +94,12 @@
             "rewrite_s": self.source.choice((0.1, 1.0, 2.0, None)),
             "keeps_reads": self.source.choice((True, False)),
         }
+        self.harmed_at.append(time.monotonic())
         self.made.control(restore=how)
 
     def restore_in_outage(self) -> None:
         """Restore the store up to three times while it is down."""
+        self.harmed_at.append(time.monotonic())
         self.made.control(down=self.source.choice(("silent", "reset", "busy")))
         self.down = True
         self.watch(self.source.uniform(0.1, 3.0))
@@ -136,6 +142,7 @@
     def leave(self) -> None:
         """Have an upstream leave, or start again."""
         if self.left_at is None:
+            self.left_unix_s = time.time()
             self.announce("draining")
             self.left_at = time.monotonic()
             return
@@ -195,10 +202,31 @@
         if self.left_at is None:
             return
         since = max(self.left_at, entry.started_at + STABLE_S)
+        if self.is_excused(name):
+            return
         for run in self.made.runs_of(wanted):
             if run["by"] == LEAVING and run["begun_at"] > since + DRAIN_S:
                 self.broken.append(f"{name} uses {LEAVING} though it leaves")
 
+    def is_excused(self, name: str) -> bool:
+        """Return whether a fault of the store kept an entry from knowing.
+
+        Only while the store is sound has an entry to know of a leaving within
+        DRAIN_S; once it has read of it, nothing excuses it.
+        """
+        in_time_s = self.left_at + DRAIN_S
+        harmed = any(self.left_at <= at <= in_time_s for at in self.harmed_at)
+        return harmed and not self.knows(name)
+
+    def knows(self, name: str) -> bool:
+        """Return whether an entry has read that the upstream leaves."""
+        return any(
+            row.get("name") == LEAVING
+            and row.get("leaving")
+            and row["time"] >= self.left_unix_s
+            for row in self.made.log_lines(name)
+        )
+
     def end_faults(self) -> None:
         """Resume all, and check that a new version is soon in force."""
         for name, entry in self.entries_by_name.items():
