Let an upstream return by a list after an end that a list had shown

What callers would see: an entry that learns from a peer's list that an upstream has left, and from a later one that it is back, never uses it again where heartbeats are no records: it waits for a record that does not come.

Change: a list brings it back if its number is higher. Only the first list of a restored store is doubted; what it names is withheld for the 10 s in which lost records may be written again, and used then unless the end was.

Tests: 'An upstream that returns in a peer's list, past its record, is not used' and '... whose end is not written again is not used' failed before.

--- a/features/list_ends.feature
+++ b/features/list_ends.feature
@@ -25,6 +25,26 @@
       | the log       |
       | a peer's list |
 
+  Scenario: An upstream that returns in a peer's list, past its record, is not used
+    Given an entry that lists an upstream with sequence 4
+    When a peer's list shows that it has left
+    And a peer's list shows it with sequence 6
+    Then it gets requests
+
+  Scenario: An upstream that a copy names and whose end is not written again is not used
+    Given an entry that lists an upstream with sequence 4
+    When a peer's list shows that it has left
+    And the list comes back from a copy that names it with sequence 5
+    Then it gets no requests
+    And it gets requests 10 s later
+
+  Scenario: An upstream that a copy names and whose end is written again is used
+    Given an entry that lists an upstream with sequence 4
+    When a peer's list shows that it has left
+    And the list comes back from a copy that names it with sequence 5
+    And its end is in the log
+    Then it gets no requests 10 s later
+
   Scenario: An upstream that a copy and then a peer's list lack is taken for gone
     Given an entry that lists an upstream with sequence 4
     When the list comes back from a copy without it
--- a/features/steps/list_ends_steps.py
+++ b/features/steps/list_ends_steps.py
@@ -4,7 +4,7 @@
 __license__ = "Apache-2.0"
 
 from behave import given, then, when
-from reelscale_core import position
+from reelscale_core import error, position
 from reelscale_daemon.controllers import peer_lists
 from reelscale_platform import roster
 
@@ -44,15 +44,26 @@
 @when("a peer's list shows that it has left")
 @when("a peer's list shows the same")
 def _(context):
+    _apply_peers_list(context, [])
+
+
+@when("a peer's list shows it with sequence {sequence:d}")
+def _(context, sequence):
+    _apply_peers_list(context, [roster.decode(NAME, _entry(sequence))])
+
+
+def _apply_peers_list(context, items):
+    """Have a peer send a list that is past the records that are read here."""
     listing = context.listing
-    # The record of the end, or another one, is there for others to read.
+    # The peer has read a record that this entry has not.
+    listing.store.failing = [error.CodedError("log-down", step="read")]
     listing.write(OTHER, fakes.entry(addr="10.0.0.9:80", seq=9))
     end = position.encode(
         listing.store.incarnation, len(listing.store.records)
     )
     other = roster.decode(OTHER, fakes.entry(addr="10.0.0.9:80", seq=9))
     listing.directory._apply_peer_page(
-        peer_lists.PeerPage("127.0.0.1:1", [other], end)
+        peer_lists.PeerPage("127.0.0.1:1", [other, *items], end)
     )
     _pass_time(context)
 
@@ -100,3 +111,15 @@
 def _(context):
     context.listing.write(NAME, None)
     _pass_time(context)
+
+
+@then("it gets requests 10 s later")
+def _(context):
+    context.listing.pass_time(10.0)
+    assert NAME in context.listing.listed(), context.listing.listed()
+
+
+@then("it gets no requests 10 s later")
+def _(context):
+    context.listing.pass_time(10.0)
+    assert NAME not in context.listing.listed(), context.listing.listed()
--- a/packages/reelscale-core/src/reelscale_core/latest.py
+++ b/packages/reelscale-core/src/reelscale_core/latest.py
@@ -98,7 +98,7 @@
         return item.sequence < applied.sequence
 
     def is_withdrawn(self, item: Item) -> bool:
-        """Return whether a list may have an announcement that has ended.
+        """Return whether an announcement of a list may have ended before.
 
         It does not apply to the log, in which an announcement that follows
         the end is a new one.
@@ -106,6 +106,13 @@
         applied = self._same_start(item)
         return applied is not None and applied.end is _End.LIST
 
+    def is_repeated(self, item: Item) -> bool:
+        """Return whether an announcement of a list certainly ended before."""
+        applied = self._same_start(item)
+        if applied is None or applied.end is None:
+            return False
+        return item.sequence <= applied.sequence
+
     def _same_start(self, item: Item) -> _Applied | None:
         """Return what was applied of an item's start, if both are numbered."""
         if not isinstance(item, Announcement) or item.sequence is None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -28,7 +28,15 @@
 from .. import logs, metrics
 from ..adapters import base
 from ..exchange import pool
-from . import follower, list_outage, peer_lists, unusable, upstreams, usage
+from . import (
+    follower,
+    list_outage,
+    outdated,
+    peer_lists,
+    unusable,
+    upstreams,
+    usage,
+)
 from . import view as views
 
 LOG = logs.Logger("directory")
@@ -89,6 +97,9 @@
         self._name = name
         self._starts = starts.Starts()
         self._latest = latest.Latest()
+        self._outdated = outdated.OutdatedFilter(
+            reactor=reactor, latest=self._latest, apply=self._apply_withheld
+        )
         self._unusable = unusable.UnusableAnnouncements(metrics=metrics)
         self._next = 0
         self._update_offset = 0
@@ -206,7 +217,7 @@
         self._starts.record_listed(page.items)
         if page.complete:
             self._withdraw_unlisted(page, restored=restored)
-        for item in self._without_outdated(page):
+        for item in self._outdated.remove(page, restored=restored):
             self._apply_safely(item)
         for item in self._starts.promote_due(self._clock.monotonic()):
             self._update_view(item)
@@ -215,19 +226,9 @@
         self.ready = True
         self.notify_change()
 
-    def _without_outdated(
-        self, page: base.RosterPage
-    ) -> list[announcement.Item]:
-        """Return the items that are not older than what is known.
-
-        The log orders records as they were carried out, which may be seconds
-        after newer ones of the same upstream.  A complete list may be of a
-        restored store, or of a peer that read one.
-        """
-        items = [i for i in page.items if not self._latest.is_outdated(i)]
-        if page.complete:
-            items = [i for i in items if not self._latest.is_withdrawn(i)]
-        return items
+    def _apply_withheld(self, item: announcement.Announcement) -> None:
+        self._apply_safely(item)
+        self.notify_change()
 
     def _is_restored(self, next_offset: int) -> bool:
         """Return whether a page is of another incarnation of the list."""
