Name the model of probes after the platform whose answers it plays

features/models/probes.py says the platform's names, which only tests and stand-ins of the platform do; its name says so now. No line of it changed. Measured: circuit.feature 18 scenarios passed, lint clean.

--- a/features/steps/circuit_steps.py
+++ b/features/steps/circuit_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from reelscale_core import circuit, error
 
-from features.models import probes
+from features.models import platform_probes as probes
 
 STEP_S = 0.01
 
