--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/client.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/client.py
@@ -22,10 +22,6 @@
         self._connections = connections
         self._address = address
 
-    def retire_connections(self) -> None:
-        """Reuse no connection that was opened before now."""
-        self._connections.retire(self._address)
-
     async def request(
         self,
         method: str,
@@ -35,6 +31,7 @@
         body: bytes = b"",
         timeout_s: float,
         new_connection: bool = False,
+        only_new: bool = False,
     ) -> fetch.Response:
         """Send a request; ExchangeError if there is no answer in time.
 
@@ -45,7 +42,12 @@
           body: JSON body, empty for none.
           timeout_s: Time-out of the whole exchange, in seconds.
           new_connection: Whether to open a connection for it.
+          only_new: Whether to do so, and to reuse none for later requests
+            that was opened before: where answers have no id, a late copy of
+            an earlier one could be taken for what follows.
         """
+        if only_new:
+            self._connections.retire(self._address)
         target = path
         if query:
             target += "?" + urllib.parse.urlencode(query)
@@ -60,5 +62,5 @@
             ),
             reactor=self._reactor,
             timeout_s=timeout_s,
-            new_connection=new_connection,
+            new_connection=new_connection or only_new,
         )
