Cut a log line that is too long inside a text, so that it stays JSON

What was seen: a line above 4 KB was cut at its end, inside a string, so that tools could not decode it, and the end of a traceback, which names the error, was what got lost. Change: the longest text of the line is cut in the middle; both ends stay. Evidence: the new scenario of platform_logs.feature fails without the change (JSONDecodeError) and passes with it; the other three pass.

--- a/features/platform_logs.feature
+++ b/features/platform_logs.feature
@@ -19,3 +19,8 @@
     Given a log that writes to a pipe which nobody reads
     When the reader goes away and 10 lines are logged
     Then nothing is raised and all are left out
+
+  Scenario: A line that is too long is cut inside a text and stays JSON
+    Given a log that writes to a pipe which nobody reads
+    When a traceback of 9000 characters is logged
+    Then the line can be decoded and has both ends of the traceback
--- a/features/steps/platform_logs_steps.py
+++ b/features/steps/platform_logs_steps.py
@@ -28,11 +28,15 @@
 
 def _emit(context, count):
     for number in range(count):
-        line = logs.Line("test", "A line.", {"number": number})
-        record = logging.LogRecord(
-            "absl", logging.INFO, "", 0, "%s", (line,), None
-        )
-        context.handler.emit(record)
+        _emit_fields(context, number=number)
+
+
+def _emit_fields(context, **fields):
+    line = logs.Line("test", "A line.", fields)
+    record = logging.LogRecord(
+        "absl", logging.INFO, "", 0, "%s", (line,), None
+    )
+    context.handler.emit(record)
 
 
 def _read(context):
@@ -123,3 +127,17 @@
 @then("nothing is raised and all are left out")
 def _(context):
     assert context.handler.left_out == context.count
+
+
+@when("a traceback of {size:d} characters is logged")
+def _(context, size):
+    filling = 'File "é"\n' * size
+    reason = ("Traceback" + filling)[:size] + "ValueError: it is too long"
+    _emit_fields(context, reason=reason)
+
+
+@then("the line can be decoded and has both ends of the traceback")
+def _(context):
+    (row,) = _read(context)
+    assert row["reason"].startswith("Traceback"), row
+    assert row["reason"].endswith("ValueError: it is too long"), row
--- a/packages/reelscale-daemon/src/reelscale_daemon/logs.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/logs.py
@@ -25,8 +25,10 @@
 # requests a second, and two lines a request are usual.
 LINES_PER_S = 400
 # A pipe that can be written to takes this many bytes without waiting
-# (PIPE_BUF of POSIX); a longer line is cut to fit.
+# (PIPE_BUF of POSIX); the longest text of a longer line is cut to fit.
 LONGEST_LINE = 4096
+# Stands in the place of what was cut.
+CUT = " [...] "
 STDOUT = 1
 
 
@@ -85,7 +87,11 @@
             data |= {"part": line.part, "text": line.sentence, **line.fields}
         else:
             data |= {"part": record.name, "text": record.getMessage()}
-        return orjson.dumps(data, default=str).decode()
+        text = orjson.dumps(data, default=str).decode()
+        excess = len(text.encode()) + 1 - LONGEST_LINE
+        if excess <= 0:
+            return text
+        return orjson.dumps(_shortened(data, excess), default=str).decode()
 
 
 class BoundedHandler(python_logging.Handler):
@@ -155,6 +161,34 @@
             return False
 
 
+def _shortened(data: dict[str, Any], excess: int) -> dict[str, Any]:
+    """Return the fields of a line with its longest text cut in the middle.
+
+    The end of a traceback names the error, and its begin the place.
+    """
+    texts = {name: str(value) for name, value in data.items()}
+    name = max(texts, key=lambda each: len(texts[each]))
+    text = texts[name]
+    kept_bytes = max(0, _encoded_bytes(text + CUT) - 2 * len(CUT) - excess)
+    first = _fitting(text, kept_bytes // 2)
+    last = _fitting(text[::-1], kept_bytes // 2)[::-1]
+    return data | {name: first + CUT + last}
+
+
+def _fitting(text: str, size: int) -> str:
+    """Return the longest begin of a text that is no larger once encoded."""
+    for number, character in enumerate(text):
+        size -= _encoded_bytes(character)
+        if size < 0:
+            return text[:number]
+    return text
+
+
+def _encoded_bytes(text: str) -> int:
+    """Return the size of a text as JSON, without its quotes."""
+    return len(orjson.dumps(text)) - 2
+
+
 def start(*, as_json: bool) -> None:
     """Send logs to standard error as text, or to standard output as JSON."""
     # absl logs to standard error only until its flags are parsed.
