Log the bytes of an upstream that are no answer, with the reason

A stream that was rejected left the code "garbled" alone. The label of a connection is taken when it opens: once it is closed its local end is not known any more, and asking raises. No decision changes.

--- a/features/tcp_connections.py
+++ b/features/tcp_connections.py
@@ -7,7 +7,7 @@
 
 from reelscale_core import clock
 from reelscale_daemon.exchange import connection, pool
-from twisted.internet import defer, task
+from twisted.internet import address, defer, task
 
 ADDRESS = "127.0.0.1:80"
 
@@ -34,6 +34,10 @@
         """Return the local socket."""
         return self._socket
 
+    def getHost(self):  # noqa: N802
+        """Return the local end."""
+        return address.IPv4Address("TCP", "127.0.0.1", 1)
+
     def write(self, data):
         """Record what is written."""
         self.written += data
@@ -62,10 +66,10 @@
         super().__init__(reactor=self.reactor, clock=self.clock)
         self.opened_connections = []
 
-    async def _open(self, address, timeout_s):
+    async def _open(self, peer, timeout_s):
         conn = connection.Connection(
             reactor=self._reactor,
-            address=address,
+            address=peer,
             monitor=self._monitor,
             on_lost=self._on_lost,
         )
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -31,6 +31,10 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 # Error code of an exchange whose connection ended before its answer did.
 LOST = "lost"
+# Error code of an exchange in which the peer sent bytes that are no answer.
+GARBLED = "garbled"
+# Bytes that an error keeps of those, for the log.
+SAMPLE_BYTES = 80
 # A connection is closed after it has carried this many named requests, which
 # bounds the memory for their ids.
 MAX_REQUEST_IDS = 1000
@@ -83,13 +87,25 @@
       code: "unreachable", "lost", "garbled" or "silent".
       peer: Address of the peer.
       written: False if the peer provably received none of the request.
+      detail: What is wrong with the bytes of a "garbled" exchange.
+      sample: The first of these bytes.
     """
 
-    def __init__(self, code: str, *, peer: str, written: bool) -> None:
+    def __init__(
+        self,
+        code: str,
+        *,
+        peer: str,
+        written: bool,
+        detail: str = "",
+        sample: bytes = b"",
+    ) -> None:
         super().__init__(f"{code} at {peer}, written: {written}")
         self.code = code
         self.peer = peer
         self.written = written
+        self.detail = detail
+        self.sample = sample[:SAMPLE_BYTES]
 
 
 class Connection(protocol.Protocol):
@@ -97,6 +113,7 @@
 
     Attributes:
       address: "ip:port" of the peer.
+      label: Both ends, to find the connection in logs of either side.
       opened_at: Monotonic seconds at which connecting began.
       idle_since: Monotonic seconds at which it was last released.
       keep_alive_s: Idle time-out of the peer, in seconds.
@@ -117,6 +134,7 @@
         on_lost: Callable[["Connection"], None],
     ) -> None:
         self.address = address
+        self.label = address
         self.opened_at = monitor.now()
         self.started_at = self.opened_at
         self.watched = False
@@ -146,18 +164,15 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options."""
         tcp.set_options(self.transport)
+        # Not known any more once the connection is closed.
+        local = self.transport.getHost()
+        self.label = f"{local.host}:{local.port}-{self.address}"
 
     @property
     def age_s(self) -> float:
         """Seconds since connecting began."""
         return self._monitor.now() - self.opened_at
 
-    @property
-    def label(self) -> str:
-        """Both ends of the connection, to find it in logs of either side."""
-        local = self.transport.getHost()
-        return f"{local.host}:{local.port}-{self.address}"
-
     @property
     def usable(self) -> bool:
         """Whether another exchange may begin on it.
@@ -224,7 +239,7 @@
         """
         event = await self._next()
         if not isinstance(event, h11.Response):
-            raise self._garbled()
+            raise self.garbled("no head where one is due")
         head = Head(event.status_code, event.headers.raw_items())
         self.ended_by_close = _is_unframed(head)
         self._read_keep_alive(head)
@@ -243,7 +258,7 @@
         if isinstance(event, h11.EndOfMessage):
             self._finish()
             return None
-        raise self._garbled()
+        raise self.garbled("no body where one is due")
 
     async def skip_answer(self) -> None:
         """Read over an answer to an earlier request; head() reads the next.
@@ -254,7 +269,7 @@
           ExchangeError: The answer is incomplete or malformed.
         """
         if self.ended_by_close:
-            raise self._garbled()
+            raise self.garbled("a surplus answer that ends by the close")
         while not isinstance(event := await self._next(), h11.EndOfMessage):
             self._consume(len(event.data))
         self._has_surplus = True
@@ -278,6 +293,25 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
+    def garbled(self, detail: str, sample: bytes = b"") -> ExchangeError:
+        """Reset the connection, whose peer sent what is no answer.
+
+        Args:
+          detail: What is wrong.
+          sample: The bytes.
+
+        Returns:
+          The error that ends the exchange.
+        """
+        self.abort(GARBLED)
+        return ExchangeError(
+            GARBLED,
+            peer=self.address,
+            written=True,
+            detail=detail,
+            sample=sample,
+        )
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process received bytes; abort if no exchange is in progress."""
         if self._lost is not None:
@@ -299,13 +333,13 @@
             self._fail(LOST)
         self._on_lost(self)
 
-    def _feed(self, data: bytes, code: str = "garbled") -> None:
+    def _feed(self, data: bytes, code: str = GARBLED) -> None:
         """Parse bytes; fail with the code if they are no valid HTTP."""
         try:
             self._http.receive_data(data)
             self._read_events()
-        except h11.RemoteProtocolError:
-            self._fail(code)
+        except h11.RemoteProtocolError as invalid:
+            self._fail(code, detail=str(invalid), sample=data)
             if self.transport is not None:
                 self.transport.abortConnection()
 
@@ -364,15 +398,19 @@
         if match:
             self.keep_alive_s = float(match.group(1))
 
-    def _fail(self, code: str) -> None:
+    def _fail(
+        self, code: str, *, detail: str = "", sample: bytes = b""
+    ) -> None:
         self._watch.stop()
-        self._lost = ExchangeError(code, peer=self.address, written=self._busy)
+        self._lost = ExchangeError(
+            code,
+            peer=self.address,
+            written=self._busy,
+            detail=detail,
+            sample=sample,
+        )
         self._wake()
 
-    def _garbled(self) -> ExchangeError:
-        self.abort()
-        return ExchangeError("garbled", peer=self.address, written=True)
-
 
 def _is_unframed(head: Head) -> bool:
     """Return whether an answer ends with its connection."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct.py
@@ -189,6 +189,8 @@
         return writer.CallerDisconnectedError()
     if active.abort_code:
         return _expired(active)
+    if lost.code == connection.GARBLED:
+        direct_answer.log_garbled(active, lost.detail, lost.sample)
     active.context.record_failure(active.name, view=active.request.view)
     if lost.written and lost.code != liveness.UNRESPONSIVE:
         active.record_lost()
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -323,6 +323,7 @@
     for item in complete:
         wrong = item.id is None or (last is not None and item.id != last + 1)
         if wrong:
+            log_garbled(active, f"event {item.id} behind {last}", item.data)
             raise _garbled(active)
         last = item.id
 
@@ -357,6 +358,20 @@
     )
 
 
+def log_garbled(active: ActiveAttempt, detail: str, sample: bytes) -> None:
+    """Log bytes of an upstream that are no answer."""
+    LOG.warning(
+        "An upstream sent bytes that are no answer.",
+        request=active.request.id,
+        upstream=active.upstream.start.key,
+        detail=detail,
+        bytes=repr(sample),
+        events=active.out.events,
+        connection=active.conn.label,
+        exchanges=active.conn.used,
+    )
+
+
 def _garbled(active: ActiveAttempt) -> attempt.AttemptLostError:
     """Abort the connection; return the error of a malformed stream."""
     active.conn.abort()
