Add failing tests of garbage in the streams of upstreams

Hypothesis 1 of the incident is shown by them: garbage that ends in CRLF CRLF between two events is handed on as an event without an id, whether the answer is chunked, sized or ends with its connection, whole or byte by byte. Hypotheses 2 and 3 are ruled out: events with an empty id or none are rejected, and nothing of a torn event is joined to the next upstream's. Hypothesis 4 is shown: a piece above 1 MB without an end raises ValueError in the parser, which nobody catches.

--- /dev/null
+++ b/features/answer_paths.py
@@ -0,0 +1,431 @@
+"""Plays the path of an answer in one process, from an upstream's bytes on.
+
+The real connection, parser, relay, writer and HTTP server towards the caller,
+with scripted upstreams in place of sockets: what a caller receives is a
+function of the bytes alone.
+"""
+
+__copyright__ = "Copyright 2026 The reelscale maintainers"
+__license__ = "Apache-2.0"
+
+import collections
+import logging
+import re
+import types
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from reelscale_core import announcement, clock, retry, route, routing
+from reelscale_daemon import callers, ingress
+from reelscale_daemon.exchange import connection, pool
+from reelscale_daemon.filters import direct, relay, routed
+from reelscale_platform import ingress as surfaces
+from reelscale_platform import worker as dialects
+from twisted.internet import address, error, task
+from twisted.internet.testing import StringTransport
+from twisted.python import failure
+
+REQUEST_ID = "00000000000000a1"
+FAULT = "fault of ours"
+TARGETS = {"chat": "llm", "read": "push", "push": "push"}
+KINDS = {"chat": route.STREAM, "read": route.SAFE, "push": route.UNSAFE}
+# Time of a request until its answer is due.
+TIMEOUT_S = 8.0
+
+
+class Script(NamedTuple):
+    """What an upstream sends, and how it ends.
+
+    Attributes:
+      pieces: The bytes, as they arrive.
+      end: "close", "reset" or "" to keep the connection.
+    """
+
+    pieces: Sequence[bytes]
+    end: str = ""
+
+
+# Returns what an upstream sends to a request that resumes after an event.
+Upstream = Callable[[int], Script]
+
+
+class Seen(NamedTuple):
+    """What a caller received, and what the entry noted of it.
+
+    Attributes:
+      status: Status, 0 if nothing was received.
+      body: The body, as far as it came.
+      complete: Whether the framing says that it is whole.
+      resumed_after: Last-Event-Id of each attempt, 0 for none.
+      failures: Upstreams whose circuit was charged, by attempt.
+      left_open: Whether a connection was kept for other requests, by attempt.
+      logged: Sentences and fields of the log.
+      read: Bytes of each upstream that were taken before its end.
+      outcome: Outcome of the request as counted.
+      expired: Whether its time had to run out to end it.
+    """
+
+    status: int
+    body: bytes
+    complete: bool
+    resumed_after: tuple[int, ...]
+    failures: tuple[str, ...]
+    left_open: tuple[bool, ...]
+    logged: tuple[dict[str, Any], ...]
+    read: tuple[int, ...]
+    outcome: str
+    expired: bool
+
+    @property
+    def faults(self) -> list[str]:
+        """Exceptions that left the path of the request."""
+        return [
+            str(row.get("reason"))
+            for row in self.logged
+            if FAULT in row["text"]
+        ]
+
+
+class _Handle:
+    """A socket on which nothing waits."""
+
+    def setsockopt(self, *_: Any) -> None:
+        """Ignore an option."""
+
+    def recv(self, *_: Any) -> bytes:
+        """Say that nothing waits."""
+        raise BlockingIOError
+
+
+class Transport(StringTransport):
+    """A transport of either side."""
+
+    dataBuffer, offset, _tempDataLen = b"", 0, 0  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__(
+            hostAddress=address.IPv4Address("TCP", "127.0.0.1", 1),
+            peerAddress=address.IPv4Address("TCP", "127.0.0.1", 2),
+        )
+        self.aborted = False
+
+    def getHandle(self) -> _Handle:  # noqa: N802
+        """Return the socket."""
+        return _Handle()
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Record that the connection was reset."""
+        self.aborted = True
+        super().abortConnection()
+
+    def fileno(self) -> int:
+        """Have no descriptor."""
+        raise OSError
+
+    def ignore(self, *_: Any) -> None:
+        """Do nothing."""
+
+    setTcpNoDelay = setTcpKeepAlive = ignore  # noqa: N815
+    loseWriteConnection = ignore  # noqa: N815
+
+
+class Pool(pool.Pool):
+    """A pool that opens connections to scripted upstreams."""
+
+    def __init__(self, reactor: Any, now: clock.Clock) -> None:
+        super().__init__(reactor=reactor, clock=now)
+        self.conns: list[connection.Connection] = []
+
+    async def _open(self, peer: str, _timeout_s: float) -> Any:
+        conn = connection.Connection(
+            reactor=self._reactor,
+            address=peer,
+            monitor=self._monitor,
+            on_lost=self._on_lost,
+        )
+        conn.makeConnection(Transport())
+        self.conns.append(conn)
+        return conn
+
+
+class _Recorder(logging.Handler):
+    """Keeps what the program logs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rows: list[dict[str, Any]] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a record."""
+        line = record.args[0] if record.args else None
+        fields = getattr(line, "fields", {})
+        text = getattr(line, "sentence", record.getMessage())
+        self.rows.append({**fields, "text": text})
+
+
+class _Ignore:
+    """Takes every call and does nothing."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_, **__: None
+
+
+class Play:
+    """One request and its attempts."""
+
+    def __init__(
+        self,
+        upstreams: Sequence[Upstream],
+        *,
+        kind: str = "chat",
+        resumable: bool = True,
+        request_id: str = REQUEST_ID,
+    ) -> None:
+        """Create a play.
+
+        Args:
+          upstreams: What the upstreams of the attempts send, in order.
+          kind: "chat", "read" or "push".
+          resumable: Whether a stream may go on elsewhere.
+          request_id: Id of the request.
+        """
+        self.reactor, self.clock = task.Clock(), clock.FakeClock()
+        self.caller = Transport()
+        self.calls: list[Any] = []
+        self._upstreams = list(upstreams)
+        self._kind = kind
+        self._resumable = resumable
+        self._id = request_id
+        self._expired = False
+        self._failures: list[str] = []
+        self._read = collections.Counter()
+        self._pool = Pool(self.reactor, self.clock)
+        self._log = _Recorder()
+        self._context = self._make_context()
+
+    def run(self) -> Seen:
+        """Play it to its end."""
+        log = logging.getLogger("absl")
+        log.addHandler(self._log)
+        try:
+            self._send()
+            self._deliver()
+            if self._is_running:
+                self._expire()
+        finally:
+            log.removeHandler(self._log)
+        return self._seen()
+
+    def _make_context(self) -> Any:
+        recorder = _Ignore()
+        membership = _Ignore()
+        membership.candidates = lambda _target: []
+        membership.refusal_reason = lambda _start: ""
+        suspects = _Ignore()
+        suspects.convicted_s = lambda _request: 0.0
+        suspects.is_doubtful = lambda _request: False
+        suspects.wait_for_check = _return_at_once
+        outages = _Ignore()
+        outages.out = lambda _request: False
+        return types.SimpleNamespace(
+            reactor=self.reactor,
+            clock=self.clock,
+            budget=retry.Budget(),
+            chain=(self._prepare, relay.relay),
+            choose=self._choose,
+            connections=self._pool,
+            current_view=self._view,
+            dialect=dialects.Dialect(),
+            membership=membership,
+            metrics=types.SimpleNamespace(
+                attempts=recorder,
+                requests=recorder,
+                whole=recorder,
+                first_byte=recorder,
+                workspace=lambda name: name,
+            ),
+            outages=outages,
+            record_decision=lambda _request: None,
+            record_failure=lambda name, view=None: self._failures.append(name),
+            record_success=lambda name, view=None: None,
+            release=lambda _request: None,
+            remaining_s=lambda request: (
+                request.answer_deadline - self.clock.monotonic()
+            ),
+            reserve=lambda _request: None,
+            retry_after_s=lambda _request: 1.0,
+            send=direct.run,
+            settings=types.SimpleNamespace(retry_ratio=0.2),
+            suspects=suspects,
+        )
+
+    def _choose(self, _request: Any) -> routing.Choice | None:
+        name = f"w{len(self._pool.conns) + 1}"
+        return routing.Choice(name, "wait", 0.0, 1)
+
+    def _view(self, request: Any) -> Any:
+        number = len(self._pool.conns) + 1
+        upstream = announcement.Announcement(
+            name=request.choice.name,
+            target=request.target,
+            address=f"10.0.0.{number}:80",
+            hall="a",
+            slots=6,
+        )
+        return types.SimpleNamespace(upstream=upstream)
+
+    async def _prepare(self, request: Any, context: Any) -> None:
+        kind = KINDS[self._kind]
+        request.route = route.Route(
+            name="r1",
+            host="h",
+            prefix=f"/{self._kind}/",
+            kind=kind,
+            shares=(route.Share(TARGETS[self._kind]),),
+            timeout_s=TIMEOUT_S,
+            attempts=len(self._upstreams),
+            resumable=self._resumable and kind == route.STREAM,
+        )
+        request.workspace = routed.PUBLIC
+        request.target = TARGETS[self._kind]
+        request.stream = request.is_model = kind == route.STREAM
+        request.idempotent = request.route.idempotent
+        request.max_attempts = request.route.attempts
+        request.answer_deadline = self.clock.monotonic() + TIMEOUT_S
+        request.requirements = routing.Requirements(hall="a")
+        request.choice = context.choose(request)
+        self.calls.append(request)
+
+    def _send(self) -> None:
+        """Have the caller send the request."""
+        resource = callers.Callers(
+            given=self._context, surface=surfaces.Surface()
+        )
+        site = ingress.Ingress(
+            reactor=self.reactor,
+            resource=resource,
+            body_bytes=1 << 20,
+            most_connections=10,
+        )
+        channel = site.buildProtocol(None)
+        channel.makeConnection(self.caller)
+        channel.dataReceived(
+            b"POST /%b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %b\r\n"
+            b"Content-Length: 4\r\n\r\nonce"
+            % (self._kind.encode(), self._id.encode())
+        )
+        self.channel = channel
+
+    def _deliver(self) -> None:
+        """Deliver what the upstreams send, one after the other."""
+        done = 0
+        while done < len(self._pool.conns):
+            self._play_upstream(done)
+            done += 1
+
+    def _play_upstream(self, number: int) -> None:
+        conn = self._pool.conns[number]
+        script = self._upstreams[number](self._resumed_after(conn))
+        transport = conn.transport
+        for piece in script.pieces:
+            if transport.aborted:
+                break
+            self._read[number] += len(piece)
+            conn.dataReceived(piece)
+            self.reactor.advance(0)
+        if transport.aborted or script.end == "reset":
+            conn.connectionLost(failure.Failure(error.ConnectionLost()))
+        elif script.end == "close":
+            conn.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.reactor.advance(0)
+
+    def _resumed_after(self, conn: connection.Connection) -> int:
+        sent = conn.transport.value().lower()
+        found = re.search(rb"last-event-id: (\d+)", sent)
+        return int(found.group(1)) if found else 0
+
+    @property
+    def _is_running(self) -> bool:
+        """Whether the caller waits for more."""
+        return bool(self.channel.requests)
+
+    def _expire(self) -> None:
+        """Let the time of the request run out."""
+        self._expired = True
+        self.clock.advance(TIMEOUT_S)
+        self.reactor.advance(TIMEOUT_S)
+
+    def _seen(self) -> Seen:
+        status, body, complete = _parsed(self.caller.value())
+        conns = self._pool.conns
+        call = self.calls[0] if self.calls else None
+        return Seen(
+            status=status,
+            body=body,
+            complete=complete,
+            resumed_after=tuple(self._resumed_after(c) for c in conns),
+            failures=tuple(self._failures),
+            left_open=tuple(not c.transport.aborted for c in conns),
+            logged=tuple(self._log.rows),
+            read=tuple(self._read[n] for n in range(len(conns))),
+            outcome=call.outcome if call else "",
+            expired=self._expired,
+        )
+
+
+async def _return_at_once(*_: Any) -> None:
+    """Return."""
+
+
+def _parsed(raw: bytes) -> tuple[int, bytes, bool]:
+    """Return status, body and whether it is whole, as a caller reads them."""
+    head, found, body = raw.partition(b"\r\n\r\n")
+    if not found:
+        return 0, b"", False
+    lines = head.split(b"\r\n")
+    status = int(lines[0].split(b" ")[1])
+    fields = [line.lower().partition(b":") for line in lines[1:]]
+    by_name = {name: value.strip() for name, _, value in fields}
+    if b"content-length" in by_name:
+        size = int(by_name[b"content-length"])
+        return status, body[:size], len(body) >= size
+    return status, *_dechunked(body)
+
+
+def _dechunked(raw: bytes) -> tuple[bytes, bool]:
+    """Return a chunked body, and whether its end has come."""
+    body = bytearray()
+    while True:
+        line, found, raw = raw.partition(b"\r\n")
+        if not found:
+            return bytes(body), False
+        size = int(line, 16)
+        if not size:
+            return bytes(body), True
+        if len(raw) < size + 2:
+            return bytes(body) + raw[:size], False
+        body += raw[:size]
+        raw = raw[size + 2 :]
+
+
+def true_answer(
+    *,
+    kind: str = "chat",
+    framing: str = "chunked",
+    after: int = 0,
+    request_id: str = REQUEST_ID,
+) -> tuple[list[bytes], list[bytes]]:
+    """Return head lines and body pieces of a right answer."""
+    # Imported here, as stand-ins for steps and not for this module.
+    from standins import garbage
+
+    media = {"chat": b"text/event-stream"}.get(kind, b"application/json")
+    head = [
+        b"HTTP/1.1 200 OK\r\n",
+        b"Request-Id: %b\r\n" % request_id.encode(),
+        b"Response-Stamp: stamp-w\r\n",
+        b"Content-Type: %b\r\n" % media,
+    ]
+    if kind == "chat":
+        return head, garbage.stream(after)
+    return head, [b"whole answer of %b" % request_id.encode()]
--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -83,6 +83,11 @@
       | torn         |
       | gap          |
       | unsized-torn |
+      | spoilt/between/unframed/lines/whole     |
+      | spoilt/between/chunked/data-crlf/bytes  |
+      | spoilt/torn/sized/returns/bytes         |
+      | spoilt/inside/unframed/binary/whole     |
+      | spoilt/first/unframed/large/whole       |
 
   Scenario: A stream with neither a length nor chunks ends with its connection
     When a client streams "/chat/unsized"
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,7 +19,7 @@
 import h11
 from twisted.internet import protocol, reactor
 
-from . import crashing, web, worker_faults
+from . import crashing, garbage, web, worker_faults
 
 EVENTS = 6
 EVENT_GAP_S = 0.01
@@ -273,6 +273,32 @@
         """Write a good answer."""
         self.head(200, [("Content-Type", "application/json")], body)
 
+    def send_spoilt(self, data: bytes, spoilt: garbage.Spoilt) -> None:
+        """Write an answer with garbage, at once or byte by byte."""
+        if not spoilt.bytewise:
+            self.transport.write(data)
+            self._end_spoilt(spoilt)
+            return
+        self.transport.setTcpNoDelay(True)
+
+        def write(at: int) -> None:
+            if not self.transport.connected:
+                return
+            if at == len(data):
+                self._end_spoilt(spoilt)
+                return
+            self.transport.write(data[at : at + 1])
+            reactor.callLater(0, write, at + 1)
+
+        write(0)
+
+    def _end_spoilt(self, spoilt: garbage.Spoilt) -> None:
+        """End the connection where that ends the answer, else keep it."""
+        if spoilt.framing == "unframed":
+            self.transport.loseConnection()
+        else:
+            self.next()
+
     def next(self) -> None:
         """Get ready for another request on this connection."""
         rest = self.http.trailing_data[0]
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -9,7 +9,7 @@
 
 from twisted.internet import reactor
 
-from . import flood
+from . import flood, garbage
 
 # A connection of worker.py, which finds its faults here.
 Channel = Any
@@ -181,6 +181,7 @@
     "unframed": _unframed,
     "unframed-reset": _unframed_reset,
     "foreign": _foreign,
+    garbage.WORD: garbage.send,
     "garbage": _garbage,
     "crash": _crash,
     "headed": _headed,
