Give each scenario of garbage in a worker's stream a fleet of its own

In the shared fleet they depend on the ones before: a circuit that an earlier scenario has opened sends the stream to the sound worker at once.

--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -83,6 +83,16 @@
       | torn         |
       | gap          |
       | unsized-torn |
+
+  Scenario Outline: Garbage in a worker's stream reaches a client: <fault>
+    Given a fleet of its own
+    When a client streams "/chat/<fault>"
+    Then the stream has every event once, in order, and is complete
+    And 2 workers ran it
+    And the head is from the first worker
+
+    Examples:
+      | fault                                   |
       | spoilt/between/unframed/lines/whole     |
       | spoilt/between/chunked/data-crlf/bytes  |
       | spoilt/torn/sized/returns/bytes         |
