Confine an unforeseen error to the attempt in which it occurs

Such a request lost its retry, the rest of its stream, the charge on its upstream's circuit and its outcome, and got 500. Cause: only errors that the relay knows became a lost attempt; anything else passed through all filters. Change: an error that nobody foresaw ends its attempt like any other loss, is logged with its traceback, and charges the circuit; one behind the end of an answer is logged alone; where the caller has gone it is none of ours.

--- a/features/answer_paths.py
+++ b/features/answer_paths.py
@@ -201,7 +201,7 @@
         self._read = collections.Counter()
         self._pool = Pool(self.reactor, self.clock)
         self._log = _Recorder()
-        self._context = self._make_context()
+        self.context = self._make_context()
 
     def run(self) -> Seen:
         """Play it to its end."""
@@ -299,7 +299,7 @@
     def _send(self) -> None:
         """Have the caller send the request."""
         resource = callers.Callers(
-            given=self._context, surface=surfaces.Surface()
+            given=self.context, surface=surfaces.Surface()
         )
         site = ingress.Ingress(
             reactor=self.reactor,
@@ -307,14 +307,13 @@
             body_bytes=1 << 20,
             most_connections=10,
         )
-        channel = site.buildProtocol(None)
-        channel.makeConnection(self.caller)
-        channel.dataReceived(
+        self.channel = site.buildProtocol(None)
+        self.channel.makeConnection(self.caller)
+        self.channel.dataReceived(
             b"POST /%b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %b\r\n"
             b"Content-Length: 4\r\n\r\nonce"
             % (self._kind.encode(), self._id.encode())
         )
-        self.channel = channel
 
     def _deliver(self) -> None:
         """Deliver what the upstreams send, one after the other."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/relay.py
@@ -10,7 +10,7 @@
 
 from reelscale_core import error, retry
 
-from . import admit, call, writer
+from . import admit, call, containment, writer
 from . import attempt as attempts
 from . import context as contexts
 
@@ -36,7 +36,7 @@
     ran = False
     while True:
         try:
-            await context.send(request, context, out)
+            await containment.send(request, context, out)
             request.outcome = error.OUTCOME_RAN
             return
         except attempts.AttemptLostError as lost:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/writer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/writer.py
@@ -44,6 +44,7 @@
 
     Attributes:
       begun: Whether anything was sent to the caller.
+      finished: Whether the answer is complete.
       resumable: Whether another attempt can continue the answer.
       events: Number of events sent.
       last_id: Id of the last event, None if events have no ids.
@@ -55,6 +56,7 @@
         self, *, request: call.Call, context: contexts.Context
     ) -> None:
         self.begun = False
+        self.finished = False
         self.events = 0
         self.last_id: int | None = None
         self._request = request
@@ -110,6 +112,7 @@
 
     def finish(self) -> None:
         """End the answer."""
+        self.finished = True
         self._http.unregisterProducer()
         self._http.finish()
 
