Bound what is read of bytes that come without end

What callers would see: a refusal, an error or a surplus answer whose body does not end held the request until its deadline and was read for as long; heads before that of the answer were counted by nobody. Cause: an answer that nobody needs was read to its end, as if it had one. Change: what is read over to reuse a connection has a bound of bytes and of time, then the connection is reset; a refusal stays proved by its head. An error above the buffer is no answer, whoever asked; the request is retried where it may be. More than eight interim heads are no protocol's. Endless events end in the parser, endless heads, extensions and trailers in h11's bound (seen before as well); a success without end is held back by its caller and ends at the route's deadline, seen to be incomplete.

--- a/features/answer_attempts.py
+++ b/features/answer_attempts.py
@@ -63,6 +63,10 @@
     async def skip_answer(self) -> None:
         """Do nothing, as the next head is that of the next answer."""
 
+    async def drain(self) -> None:
+        """Drop the body."""
+        self._pieces.clear()
+
     async def chunk(self) -> bytes | None:
         """Return the body, then its end."""
         return self._pieces.pop() if self._pieces else None
--- a/features/answer_paths.py
+++ b/features/answer_paths.py
@@ -10,6 +10,7 @@
 
 import collections
 import logging
+import math
 import re
 import types
 from collections.abc import Callable, Sequence
@@ -31,6 +32,9 @@
 KINDS = {"chat": route.STREAM, "read": route.SAFE, "push": route.UNSAFE}
 # Time of a request until its answer is due.
 TIMEOUT_S = 8.0
+# How long an upstream stalls.
+STALL_STEPS = 40
+STALL_STEP_S = 0.05
 
 
 class Script(NamedTuple):
@@ -38,7 +42,8 @@
 
     Attributes:
       pieces: The bytes, as they arrive.
-      end: "close", "reset" or "" to keep the connection.
+      end: "close", "reset", "" to keep the connection for other requests or
+        "stall" to keep it and send no more for a while.
     """
 
     pieces: Sequence[bytes]
@@ -192,6 +197,8 @@
         self.reactor, self.clock = task.Clock(), clock.FakeClock()
         self.caller = Transport()
         self.calls: list[Any] = []
+        # The caller reads nothing any more after so many bytes.
+        self.pause_caller_after = math.inf
         self._upstreams = list(upstreams)
         self._kind = kind
         self._resumable = resumable
@@ -326,18 +333,30 @@
         conn = self._pool.conns[number]
         script = self._upstreams[number](self._resumed_after(conn))
         transport = conn.transport
-        for piece in script.pieces:
-            if transport.aborted:
+        for piece in filter(None, script.pieces):
+            if len(self.caller.value()) > self.pause_caller_after:
+                self.channel.pauseProducing()
+            if transport.aborted or transport.producerState == "paused":
                 break
             self._read[number] += len(piece)
             conn.dataReceived(piece)
             self.reactor.advance(0)
+        if script.end == "stall":
+            self._stall(transport)
         if transport.aborted or script.end == "reset":
             conn.connectionLost(failure.Failure(error.ConnectionLost()))
         elif script.end == "close":
             conn.connectionLost(failure.Failure(error.ConnectionDone()))
         self.reactor.advance(0)
 
+    def _stall(self, transport: Transport) -> None:
+        """Let time pass until the upstream is given up."""
+        for _ in range(STALL_STEPS):
+            if transport.aborted:
+                return
+            self.clock.advance(STALL_STEP_S)
+            self.reactor.advance(STALL_STEP_S)
+
     def _resumed_after(self, conn: connection.Connection) -> int:
         sent = conn.transport.value().lower()
         found = re.search(rb"last-event-id: (\d+)", sent)
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -38,6 +38,13 @@
 # A connection is closed after it has carried this many named requests, which
 # bounds the memory for their ids.
 MAX_REQUEST_IDS = 1000
+# Bounds of an answer that is only read so that the connection can be reused.
+MAX_DRAINED_BYTES = 64 * 1024
+DRAIN_TIMEOUT_S = 0.1
+# A surplus answer was sent at once, but a lost packet of it is sent again.
+SKIP_TIMEOUT_S = 1.0
+# More heads before that of the answer are no protocol's.
+MAX_INTERIM_HEADS = 8
 # Answers with these statuses never have a body.
 NO_BODY_STATUSES = frozenset((204, 304))
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -151,6 +158,7 @@
         self.used = 0
         self._request_ids: set[str] = set()
         self._method = b""
+        self._interim_heads = 0
         # Whether answers came on it that no request was waiting for.
         self._has_surplus = False
         self._reactor = reactor
@@ -224,6 +232,7 @@
         if self.watched:
             self._watch.start()
         self._method = request.method
+        self._interim_heads = 0
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD"):
             size = b"%d" % len(request.body)
@@ -268,18 +277,32 @@
             return None
         raise self.garbled("no body where one is due")
 
+    async def drain(self) -> ExchangeError | None:
+        """Read over the rest of an answer that nobody needs.
+
+        Returns:
+          Why the connection was reset instead, if it was: the rest is too
+          long, malformed or does not come in time.
+        """
+        try:
+            await self._read_over(DRAIN_TIMEOUT_S)
+        except ExchangeError as lost:
+            self.abort()
+            return lost
+        self._finish()
+        return None
+
     async def skip_answer(self) -> None:
         """Read over an answer to an earlier request; head() reads the next.
 
         The connection is not reused after this exchange.
 
         Raises:
-          ExchangeError: The answer is incomplete or malformed.
+          ExchangeError: The answer is incomplete, malformed or too long.
         """
         if self.ended_by_close:
             raise self.garbled("a surplus answer that ends by the close")
-        while not isinstance(event := await self._next(), h11.EndOfMessage):
-            self._consume(len(event.data))
+        await self._read_over(SKIP_TIMEOUT_S)
         self._has_surplus = True
         rest, closed = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
@@ -294,6 +317,26 @@
         if closed:
             self._feed(b"", code=LOST)
 
+    async def _read_over(self, timeout_s: float) -> None:
+        """Read the rest of a body and drop it.
+
+        Raises:
+          ExchangeError: It is incomplete, malformed, too long or too late.
+        """
+        timer = self._reactor.callLater(timeout_s, self.abort)
+        size = 0
+        try:
+            while not isinstance(
+                event := await self._next(), h11.EndOfMessage
+            ):
+                self._consume(len(event.data))
+                size += len(event.data)
+                if size > MAX_DRAINED_BYTES:
+                    raise self.garbled("an answer without end", event.data)
+        finally:
+            if timer.active():
+                timer.cancel()
+
     def abort(self, code: str = LOST) -> None:
         """Reset the connection; fail the exchange with a code."""
         if self._lost is None:
@@ -359,6 +402,7 @@
             if isinstance(event, h11.ConnectionClosed):
                 break
             if isinstance(event, h11.InformationalResponse):
+                self._count_interim_head()
                 continue
             self._events.append(event)
             if isinstance(event, h11.Data):
@@ -370,6 +414,12 @@
             self.transport.pauseProducing()
         self._wake()
 
+    def _count_interim_head(self) -> None:
+        """Count a head before that of the answer; too many are no protocol."""
+        self._interim_heads += 1
+        if self._interim_heads > MAX_INTERIM_HEADS:
+            raise h11.RemoteProtocolError("too many interim heads")
+
     def _consume(self, size: int) -> None:
         self._buffered -= size
         if self._paused and self._buffered <= MAX_BUFFERED_BYTES // 2:
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -141,9 +141,7 @@
     """Record the refusal of the upstream; return the error."""
     active.context.outages.record_refused(active.request, active.name)
     active.context.membership.record_refused(active.upstream.start)
-    # Drains the answer, so that the connection can be reused.
-    while await active.conn.chunk() is not None:
-        pass
+    await _drain(active)
     return attempt.AttemptLostError(
         f"upstream-{head.status}",
         peer=active.name,
@@ -170,11 +168,18 @@
         upstream=active.upstream.start.key,
         status=head.status,
     )
-    while await active.conn.chunk() is not None:
-        pass
+    await _drain(active)
     return active.lost(f"upstream-{head.status}")
 
 
+async def _drain(active: ActiveAttempt) -> None:
+    """Drain an answer that is not forwarded, to reuse its connection."""
+    lost = await active.conn.drain()
+    if lost is not None and lost.code == connection.GARBLED:
+        log_garbled(active, lost.detail, lost.sample)
+        active.context.record_failure(active.name, view=active.request.view)
+
+
 async def _own_head(active: ActiveAttempt) -> base.AnswerHead:
     """Read the head of the answer to this request.
 
@@ -276,6 +281,8 @@
             continue
         body += piece
         if len(body) > MAX_BUFFERED_BYTES:
+            if head.status not in SUCCESSES:
+                raise active.conn.garbled("an error without end", piece)
             out.begin(head.status, head.headers)
             out.write([bytes(body)])
     if not out.begun:
