--- a/features/answer_paths.py
+++ b/features/answer_paths.py
@@ -59,6 +59,7 @@
 
     Attributes:
       status: Status, 0 if nothing was received.
+      headers: Names in lower case, and values.
       body: The body, as far as it came.
       complete: Whether the framing says that it is whole.
       resumed_after: Last-Event-Id of each attempt, 0 for none.
@@ -71,6 +72,7 @@
     """
 
     status: int
+    headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     complete: bool
     resumed_after: tuple[int, ...]
@@ -374,11 +376,12 @@
         self.reactor.advance(TIMEOUT_S)
 
     def _seen(self) -> Seen:
-        status, body, complete = _parsed(self.caller.value())
+        status, headers, body, complete = _parsed(self.caller.value())
         conns = self._pool.conns
         call = self.calls[0] if self.calls else None
         return Seen(
             status=status,
+            headers=headers,
             body=body,
             complete=complete,
             resumed_after=tuple(self._resumed_after(c) for c in conns),
@@ -395,19 +398,22 @@
     """Return."""
 
 
-def _parsed(raw: bytes) -> tuple[int, bytes, bool]:
-    """Return status, body and whether it is whole, as a caller reads them."""
+def _parsed(
+    raw: bytes,
+) -> tuple[int, tuple[tuple[bytes, bytes], ...], bytes, bool]:
+    """Return status, headers, body and whether it is whole."""
     head, found, body = raw.partition(b"\r\n\r\n")
     if not found:
-        return 0, b"", False
-    lines = head.split(b"\r\n")
-    status = int(lines[0].split(b" ")[1])
-    fields = [line.lower().partition(b":") for line in lines[1:]]
-    by_name = {name: value.strip() for name, _, value in fields}
-    if b"content-length" in by_name:
-        size = int(by_name[b"content-length"])
-        return status, body[:size], len(body) >= size
-    return status, *_dechunked(body)
+        return 0, (), b"", False
+    first, *lines = head.split(b"\r\n")
+    status = int(first.split(b" ")[1])
+    rows = [line.partition(b":") for line in lines]
+    headers = tuple((name.lower(), value.strip()) for name, _, value in rows)
+    length = dict(headers).get(b"content-length")
+    if length is not None:
+        size = int(length)
+        return status, headers, body[:size], len(body) >= size
+    return status, headers, *_dechunked(body)
 
 
 def _dechunked(raw: bytes) -> tuple[bytes, bool]:
