Bound the bodies that a process reads for itself from engines and its platform

What would be seen: an engine, or the platform's service of the own interface, whose answer to a call of this process has no end fills the memory of the process; the time-out covered the head alone. Calls to the users' platform, to agents and ranks had both bounds (exchange/fetch.py).

--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/platform.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/platform.py
@@ -8,10 +8,11 @@
 import orjson
 import treq
 from reelscale_core import clock, error, settings
+from twisted.internet import defer
 from twisted.web import client
 
 from .. import process
-from . import base
+from . import base, bounded_body
 
 READ_LIMIT = 2000
 TIMEOUT_S = 3.0
@@ -50,6 +51,7 @@
 
     def __init__(self, *, reactor: Any, url: str) -> None:
         self.partitioned = False
+        self._reactor = reactor
         self._url = url.rstrip("/")
         pool = client.HTTPConnectionPool(reactor, persistent=True)
         pool.maxPersistentPerHost = 4
@@ -94,6 +96,18 @@
         data = await self._ask("boxes", "GET", "/boxes")
         return [Box(**row) for row in data["boxes"]]
 
+    async def _fetch(
+        self, method: str, path: str, body: bytes | None
+    ) -> bytes:
+        """Return the body of an answer; ConnectionError unless it is a 200."""
+        answer = await self._http.request(
+            method, self._url + path, data=body, unbuffered=True
+        )
+        text = await bounded_body.read(answer)
+        if answer.code != 200:
+            raise ConnectionError(f"status {answer.code}")
+        return text
+
     async def _ask(
         self,
         step: str,
@@ -106,13 +120,9 @@
         try:
             if self.partitioned:
                 raise ConnectionError("partitioned")
-            answer = await self._http.request(
-                method, self._url + path, data=body, timeout=timeout_s
-            )
-            text = await answer.content()
-            if answer.code != 200:
-                raise ConnectionError(f"status {answer.code}")
-            return orjson.loads(text)
+            pending = defer.ensureDeferred(self._fetch(method, path, body))
+            pending.addTimeout(timeout_s, self._reactor)
+            return orjson.loads(await pending)
         except Exception as bad:
             raise error.CodedError(
                 "log-down",
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
@@ -13,6 +13,8 @@
 from twisted.web import client, http_headers, iweb
 from zope.interface import implementer
 
+from . import bounded_body
+
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 30.0
 EVENT_PREFIX = b"data:"
@@ -230,15 +232,19 @@
         """Send a request and return its JSON answer.
 
         Raises:
-          Exception: Of the HTTP client, or ValueError for invalid JSON.
+          Exception: Of the HTTP client, BodyError, or ValueError for invalid
+            JSON.
         """
+        pending = defer.ensureDeferred(self._fetch(method, path, data))
+        pending.addTimeout(ORDER_TIMEOUT_S, self._reactor)
+        return await pending
+
+    async def _fetch(self, method: str, path: str, data: Any) -> Any:
         body = Body(orjson.dumps(data)) if data is not None else None
-        pending = self._agent.request(
+        response = await self._agent.request(
             method.encode(), self._url + path.encode(), None, body
         )
-        pending.addTimeout(ORDER_TIMEOUT_S, self._reactor)
-        response = await pending
-        text = await client.readBody(response)
+        text = await bounded_body.read(response)
         if response.code != 200:
             raise ValueError(f"status {response.code} for {path}")
         return orjson.loads(text)
