Hand on nothing but events of an engine behind an agent

What callers would see: data of a line that is no JSON, or events behind the last one, in a stream of the own interface; a caller who wants one JSON answer got 500 by a fault of ours. Cause: lines that the parser did not know were passed over, and whatever stood behind "data:" was an event. Change: a line is empty, a comment, a JSON object behind "data:", or the last event; anything else ends the attempt as garbled, which is retried or resumed where that is allowed, and its bytes are logged. Measured: 7 of the 13 scenarios of engine_streams.feature fail on the parser before, none now; path, product, failure and agent_streams pass.

--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
@@ -13,12 +13,17 @@
 from twisted.web import client, http_headers, iweb
 from zope.interface import implementer
 
+from .. import logs
 from . import bounded_body
 
+LOG = logs.Logger("upstream")
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 30.0
 EVENT_PREFIX = b"data:"
 EVENT_END = b"[DONE]"
+COMMENT_PREFIX = b":"
+# Bytes of an invalid line that the log shows.
+SAMPLE_BYTES = 80
 # A longer line ends the stream.
 MAX_EVENT_BYTES = 1 << 20
 # Hop-by-hop headers (RFC 9110, 7.6.1) and those set by the client.
@@ -93,7 +98,12 @@
 
 
 class Events(basic.LineOnlyReceiver):
-    """Parses server-sent events and forwards the data of each."""
+    """Parses server-sent events and forwards the data of each.
+
+    The data of an event is a JSON object, and the last event is EVENT_END.
+    Comments, which keep connections alive, are dropped; any other line ends
+    the answer as "upstream-garbled".
+    """
 
     delimiter = b"\n"
     MAX_LENGTH = MAX_EVENT_BYTES
@@ -101,21 +111,43 @@
     def __init__(self, sink: Sink) -> None:
         self._sink = sink
         self._ended = False
+        self._garbled = False
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        """Process one line; lines without data are ignored."""
-        if not line.startswith(EVENT_PREFIX):
+        """Process one line."""
+        line = line.removesuffix(b"\r")
+        if self._garbled or not line or line.startswith(COMMENT_PREFIX):
             return
-        data = line[len(EVENT_PREFIX) :].strip()
-        if data == EVENT_END:
+        data = line.removeprefix(EVENT_PREFIX).strip()
+        if self._ended or not line.startswith(EVENT_PREFIX):
+            self._reject(line)
+        elif data == EVENT_END:
             self._ended = True
-        else:
+        elif _is_object(data):
             self._sink.chunk(data)
+        else:
+            self._reject(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """End an answer with a line that has no end."""
+        self._reject(line)
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """End the answer; it is complete after the end event only."""
+        if self._garbled:
+            self._sink.end("upstream-garbled", False)
+            return
         self._sink.end("" if self._ended else "upstream-lost", False)
 
+    def _reject(self, line: bytes) -> None:
+        """Read no more: the upstream has sent what is no event."""
+        LOG.warning(
+            "An upstream sent bytes that are no event.",
+            bytes=repr(line[:SAMPLE_BYTES]),
+        )
+        self._garbled = True
+        self.transport.loseConnection()
+
 
 class RawBody(protocol.Protocol):
     """Forwards a plain body chunk by chunk."""
@@ -250,6 +282,14 @@
         return orjson.loads(text)
 
 
+def _is_object(data: bytes) -> bool:
+    """Return whether bytes are a JSON object."""
+    try:
+        return isinstance(orjson.loads(data), dict)
+    except orjson.JSONDecodeError:
+        return False
+
+
 def _headers(rows: list[tuple[str, str]]) -> http_headers.Headers:
     headers = http_headers.Headers()
     for name, value in rows:
