Have stand-in workers send bytes without end

A line of a head, interim heads, the body of a refusal or an error, an event and garbage in a stream, as fast as the entry reads, from processes.

--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -99,6 +99,24 @@
       | spoilt/inside/unframed/binary/whole     |
       | spoilt/between/unframed/large/whole     |
 
+  Scenario Outline: A worker sends <what> without end to <path>
+    Given a fleet of its own
+    When a client sends "POST" "<path>/endless/<what>" with the body "once"
+    Then the answer has status <status> within 1 s
+    And the worker's connection is closed and the entry holds little of it
+
+    Examples:
+      | what     | path  | status |
+      | line     | /chat | 200    |
+      | line     | /push | 502    |
+      | interim  | /read | 200    |
+      | refusal  | /push | 200    |
+      | refusal  | /chat | 200    |
+      | error    | /read | 200    |
+      | error    | /push | 502    |
+      | event    | /chat | 200    |
+      | garbage  | /chat | 200    |
+
   Scenario: A stream with neither a length nor chunks ends with its connection
     When a client streams "/chat/unsized"
     Then the stream has every event once, in order, and is complete
--- a/features/steps/garbled_streams_steps.py
+++ b/features/steps/garbled_streams_steps.py
@@ -24,13 +24,6 @@
     "in the trailer": "trailer",
     "behind the end": "behind",
 }
-# Garbage that makes an event as an upstream may send it: nothing but the
-# meaning of its text would tell.
-INDISTINGUISHABLE = {
-    "inside": {"text", "digits", "empty-line", "data", "event", "id-digits"},
-    "torn": {"empty-line", "data", "event", "id-digits"},
-    "between": {"event"},
-}
 READ_BYTES = 65536
 WHOLE = b"".join(garbage.stream())
 # Of an endless event, as a multiple of what one read takes.
@@ -74,7 +67,7 @@
         garbage.FRAMINGS, garbage.GARBAGE.items(), (False, True)
     )
     for framing, (name, data), bytewise in kinds:
-        if name in INDISTINGUISHABLE.get(place, ()):
+        if name in garbage.INDISTINGUISHABLE.get(place, ()):
             continue
         if bytewise and len(data) > READ_BYTES:
             continue
--- a/features/steps/platform_answers_steps.py
+++ b/features/steps/platform_answers_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from bench import path
 from features import platform_clients as clients
 from standins import fleet, process
 
@@ -65,6 +66,29 @@
         time.sleep(0.01 * (number % 4))
 
 
+# Of an entry that has read without end it would be hundreds.
+MAX_RESIDENT_MB = 120
+
+
+@then("the answer has status {status:d} within {limit:d} s")
+def _(context, status, limit):
+    assert context.answer.status_code == status, context.answer
+    assert context.seconds <= limit, context.seconds
+
+
+@then("the worker's connection is closed and the entry holds little of it")
+def _(context):
+    made = context.cluster
+
+    def closed():
+        runs = made.runs_of(context.id)
+        return all(r["left_at"] for r in runs if "held_since" in r)
+
+    process.wait_for(closed, "the connection to be closed", 2)
+    resident_mb = path.rss_mb(made.processes["f1"].popen.pid)
+    assert resident_mb < MAX_RESIDENT_MB, resident_mb
+
+
 @then("each answer belongs to its request")
 def _(context):
     for sent, body in context.pairs:
--- a/standins/flood.py
+++ b/standins/flood.py
@@ -4,6 +4,7 @@
 __license__ = "Apache-2.0"
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import interfaces, reactor
@@ -14,6 +15,21 @@
 PIECE_BYTES = 64 * 1024
 
 
+def event(number: int) -> bytes:
+    """Return a large event of a stream, in a chunk."""
+    return chunk(b"id: %d\ndata: %b\n\n" % (number, b"x" * PIECE_BYTES))
+
+
+def text(_number: int) -> bytes:
+    """Return a piece of a body, in a chunk."""
+    return chunk(b"x" * PIECE_BYTES)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 @implementer(interfaces.IPushProducer)
 class Flood:
     """Writes pieces in chunks and notes since when its reader holds it back.
@@ -22,18 +38,21 @@
     """
 
     def __init__(
-        self, transport: Any, row: dict[str, Any], *, events: bool
+        self,
+        transport: Any,
+        row: dict[str, Any],
+        piece: Callable[[int], bytes],
     ) -> None:
         """Make one that has written nothing.
 
         Args:
           transport: Where the pieces go.
           row: The run in the ledger.
-          events: Whether each piece is an event of a stream.
+          piece: Returns a piece by its number, from 1 on.
         """
         self._transport = transport
         self._row = row
-        self._events = events
+        self._piece = piece
         self._written = 0
         self._over = False
         self._next: Any = None
@@ -62,8 +81,5 @@
         if self._over or self._row["held_since"] is not None:
             return
         self._written += 1
-        piece = b"x" * PIECE_BYTES
-        if self._events:
-            piece = b"id: %d\ndata: %b\n\n" % (self._written, piece)
-        self._transport.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+        self._transport.write(self._piece(self._written))
         self._next = reactor.callLater(0, self._write)
--- a/standins/garbage.py
+++ b/standins/garbage.py
@@ -10,6 +10,8 @@
 
 from typing import Any, NamedTuple
 
+from . import flood
+
 WORD = "spoilt"
 EVENTS = 6
 # The event in which, or behind which, garbage stands.
@@ -52,6 +54,30 @@
 )
 
 
+# Garbage that makes an event as an upstream may send it: nothing but the
+# meaning of its text would tell.
+INDISTINGUISHABLE = {
+    "inside": {"text", "digits", "empty-line", "data", "event", "id-digits"},
+    "torn": {"empty-line", "data", "event", "id-digits"},
+    "between": {"event"},
+}
+# Garbage by which a body of one piece is seen not to be whole.
+SEEN_IN_BODIES = tuple(
+    f"{WORD}/{place}/chunked/{name}/{pace}"
+    for place, name in (
+        ("before-head", "lines"),
+        ("in-head", "line"),
+        ("after-head", "text"),
+        ("trailer", "text"),
+        ("behind", "head"),
+    )
+    for pace in ("whole", "bytes")
+)
+ENDLESS_WORD = "endless"
+ENDLESS_BYTES = 64 * 1024
+ENDLESS = ("line", "interim", "refusal", "error", "event", "garbage")
+
+
 class Spoilt(NamedTuple):
     """What is wrong with an answer.
 
@@ -159,3 +185,47 @@
     head = lines.removesuffix(b"\r\n").splitlines(keepends=True)
     data = answer(spoilt, head, body)
     channel.send_spoilt(data, spoilt)
+
+
+def stream_words() -> list[str]:
+    """Return what a path may say of a stream, for random choice."""
+    return [
+        f"{WORD}/{place}/{framing}/{name}/{pace}"
+        for place in PLACES
+        for framing in FRAMINGS
+        for name, data in GARBAGE.items()
+        for pace in ("whole", "bytes")
+        if name not in INDISTINGUISHABLE.get(place, ())
+        and (pace == "whole" or len(data) < ENDLESS_BYTES)
+        # Those that lose their framing wait for its end.
+        and (place != "in-head" or framing == "unframed")
+    ]
+
+
+def send_endless(channel: Any) -> None:
+    """Send bytes without end, as the path of the request says."""
+    words = channel.request.target.decode().strip("/").split("/")
+    what = words[words.index(ENDLESS_WORD) + 1]
+    piece = b"x" * ENDLESS_BYTES
+    chunk = flood.chunk(piece)
+    chunked = ("Transfer-Encoding", "chunked")
+    events = ("Content-Type", "text/event-stream")
+    begin = b""
+    match what:
+        case "line":
+            begin, more = b"HTTP/1.1 200 OK\r\nX: ", piece
+        case "interim":
+            more = b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" * 1000
+        case "refusal":
+            begin = channel.head_lines(503, [("Not-Executed", "1"), chunked])
+            more = chunk
+        case "error":
+            begin, more = channel.head_lines(500, [chunked]), chunk
+        case "event":
+            begin = channel.head_lines(200, [events, chunked])
+            begin += flood.chunk(b"id: 1\ndata: x")
+            more = chunk
+        case "garbage":
+            begin, more = channel.head_lines(200, [events, chunked]), chunk
+    channel.transport.write(begin)
+    flood.Flood(channel.transport, channel.run or {}, lambda _: more).start()
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -77,7 +77,8 @@
     kind = "text/event-stream" if events else "application/json"
     more = [("Content-Type", kind), ("Transfer-Encoding", "chunked")]
     channel.transport.write(channel.head_lines(200, more))
-    flood.Flood(channel.transport, channel.run, events=events).start()
+    piece = flood.event if events else flood.text
+    flood.Flood(channel.transport, channel.run, piece).start()
 
 
 def _torn(channel: Channel) -> None:
@@ -182,6 +183,7 @@
     "unframed-reset": _unframed_reset,
     "foreign": _foreign,
     garbage.WORD: garbage.send,
+    garbage.ENDLESS_WORD: garbage.send_endless,
     "garbage": _garbage,
     "crash": _crash,
     "headed": _headed,
