Have the callers of the soak meet garbage and bytes without end

A quarter of their requests do, of every kind that can be told from an answer (1124 of streams, 10 of bodies, endless ones), beside all faults of entries, store and workers; what they receive is judged as before.

--- a/features/platform_answers.feature
+++ b/features/platform_answers.feature
@@ -101,21 +101,21 @@
 
   Scenario Outline: A worker sends <what> without end to <path>
     Given a fleet of its own
-    When a client sends "POST" "<path>/endless/<what>" with the body "once"
+    When a client sends "POST" "<path>/<what>" with the body "once"
     Then the answer has status <status> within 1 s
     And the worker's connection is closed and the entry holds little of it
 
     Examples:
-      | what     | path  | status |
-      | line     | /chat | 200    |
-      | line     | /push | 502    |
-      | interim  | /read | 200    |
-      | refusal  | /push | 200    |
-      | refusal  | /chat | 200    |
-      | error    | /read | 200    |
-      | error    | /push | 502    |
-      | event    | /chat | 200    |
-      | garbage  | /chat | 200    |
+      | what            | path  | status |
+      | endless/line    | /chat | 200    |
+      | endless/line    | /push | 502    |
+      | endless/interim | /read | 200    |
+      | endless-refusal | /push | 200    |
+      | endless-refusal | /chat | 200    |
+      | endless/error   | /read | 200    |
+      | endless/error   | /push | 502    |
+      | endless/event   | /chat | 200    |
+      | endless/garbage | /chat | 200    |
 
   Scenario: A stream with neither a length nor chunks ends with its connection
     When a client streams "/chat/unsized"
--- a/standins/garbage.py
+++ b/standins/garbage.py
@@ -75,7 +75,8 @@
 )
 ENDLESS_WORD = "endless"
 ENDLESS_BYTES = 64 * 1024
-ENDLESS = ("line", "interim", "refusal", "error", "event", "garbage")
+# It states that the request has not run.
+ENDLESS_REFUSAL_WORD = "endless-refusal"
 
 
 class Spoilt(NamedTuple):
@@ -205,7 +206,9 @@
 def send_endless(channel: Any) -> None:
     """Send bytes without end, as the path of the request says."""
     words = channel.request.target.decode().strip("/").split("/")
-    what = words[words.index(ENDLESS_WORD) + 1]
+    what = "refusal"
+    if ENDLESS_WORD in words:
+        what = words[words.index(ENDLESS_WORD) + 1]
     piece = b"x" * ENDLESS_BYTES
     chunk = flood.chunk(piece)
     chunked = ("Transfer-Encoding", "chunked")
--- a/standins/kept_callers.py
+++ b/standins/kept_callers.py
@@ -9,7 +9,7 @@
 import time
 from typing import NamedTuple
 
-from . import fleet
+from . import fleet, garbage
 
 # What a request meets at a faulty worker, by kind of route; "x" is nothing.
 WORDS_BY_KIND = {
@@ -18,6 +18,15 @@
     "read": ("x", "x", "shed", "error", "reset", "foreign", "extra-late"),
     "chat": ("x", "x", "shed", "cut", "torn", "gap", "unsized-torn"),
 }  # fmt: skip
+# The share of requests that meet garbage instead, or bytes without end.
+GARBAGE_SHARE = 0.25
+GARBAGE_BY_KIND = {
+    "push": (*garbage.SEEN_IN_BODIES, "endless/line", "endless-refusal",
+             "endless/error"),
+    "read": (*garbage.SEEN_IN_BODIES, "endless/interim", "endless/error"),
+    "chat": (*garbage.stream_words(), "endless/line", "endless/event",
+             "endless/garbage"),
+}  # fmt: skip
 PAUSE_S = 0.02
 RECONNECT_S = 0.1
 
@@ -81,7 +90,10 @@
         conn = self._fleet.connect(entry)
         while not self._stopping.is_set():
             kind = source.choice(("push", "push", "read", "chat"))
-            word = source.choice(WORDS_BY_KIND[kind])
+            words = WORDS_BY_KIND
+            if source.random() < GARBAGE_SHARE:
+                words = GARBAGE_BY_KIND
+            word = source.choice(words[kind])
             row = self._send(conn, entry, kind, word)
             self.sent.append(row)
             if row.body is None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -376,7 +376,13 @@
 SHARES = ("shed_share", "unnamed_share", "surplus_share")
 # Paths by which tests ask a worker, and words that are no runs.
 OWN_PATHS = (b"/ledger", b"/control")
-NOT_RUN = ("shed", "undecided", "shed-surplus", "shed-surplus-once")
+NOT_RUN = (
+    "shed",
+    "undecided",
+    "shed-surplus",
+    "shed-surplus-once",
+    garbage.ENDLESS_REFUSAL_WORD,
+)
 
 
 def main() -> None:
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -184,6 +184,7 @@
     "foreign": _foreign,
     garbage.WORD: garbage.send,
     garbage.ENDLESS_WORD: garbage.send_endless,
+    garbage.ENDLESS_REFUSAL_WORD: garbage.send_endless,
     "garbage": _garbage,
     "crash": _crash,
     "headed": _headed,
