--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -37,3 +37,17 @@
   Scenario: A surplus answer comes without end
     When a surplus answer comes without end
     Then at most 256 KB of it are read
+
+  Scenario Outline: The answer to a call of this process has <what> without end
+    When the answer to a call of this process has <what> without end
+    Then at most 9000 KB of it are read, and the call fails
+
+    Examples:
+      | what          |
+      | a body        |
+      | interim heads |
+      | a head        |
+
+  Scenario: The answer to a call of this process comes too slowly
+    When a byte of the answer to a call of this process comes every 10 ms
+    Then the call fails after its time-out of 60 ms
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -4,7 +4,7 @@
 __license__ = "Apache-2.0"
 
 from behave import then, when
-from reelscale_daemon.exchange import connection
+from reelscale_daemon.exchange import connection, fetch
 from twisted.internet import defer
 
 from features import answer_paths as paths
@@ -156,3 +156,61 @@
 def _(context, limit):
     assert context.read <= limit * KILOBYTE, context.read
     context.done[0].trap(connection.ExchangeError)
+
+
+TIMEOUT_S = 0.06
+CALLS = {
+    "a body": (b"HTTP/1.1 200 OK\r\n" + CHUNKED, CHUNK),
+    "interim heads": (b"", INTERIM),
+    "a head": (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 2000),
+}
+
+
+def _call(context):
+    """Begin a call of this process; return its connection."""
+    context.pool, context.done = tcp.Pool(), []
+    pending = fetch.fetch(
+        context.pool,
+        tcp.ADDRESS,
+        connection.Request(b"GET", b"/api/report", [(b"Host", b"h")]),
+        reactor=context.pool.reactor,
+        timeout_s=TIMEOUT_S,
+    )
+    defer.ensureDeferred(pending).addBoth(context.done.append)
+    (conn,) = context.pool.opened_connections
+    return conn
+
+
+@when("the answer to a call of this process has {what} without end")
+def _(context, what):
+    conn, (begin, more) = _call(context), CALLS[what]
+    if begin:
+        conn.dataReceived(begin)
+    context.read = 0
+    while not context.done and context.read < 2 * PIECES * len(CHUNK):
+        conn.dataReceived(more)
+        context.read += len(more)
+
+
+@then("at most {limit:d} KB of it are read, and the call fails")
+def _(context, limit):
+    assert context.read <= limit * KILOBYTE, context.read
+    context.done[0].trap(connection.ExchangeError)
+
+
+@when("a byte of the answer to a call of this process comes every 10 ms")
+def _(context):
+    conn = _call(context)
+    conn.dataReceived(CALLS["a body"][0])
+    context.seconds = 0.0
+    while not context.done and context.seconds < 1.0:
+        conn.dataReceived(b"1\r\nx\r\n")
+        context.seconds += 0.01
+        context.pool.clock.advance(0.01)
+        context.pool.reactor.advance(0.01)
+
+
+@then("the call fails after its time-out of 60 ms")
+def _(context):
+    context.done[0].trap(connection.ExchangeError)
+    assert context.seconds <= TIMEOUT_S + 0.011, context.seconds
