Split the messages of connections, the check of successes and test transports

Requests, heads and errors stand in exchange/message.py, what makes a success in filters/success.py, transports without sockets in features/answer_transports.py. Moves alone; whether a head has two framings or none is a property of it. 175 scenarios of ten features pass.

--- a/features/answer_paths.py
+++ b/features/answer_paths.py
@@ -18,14 +18,16 @@
 
 from reelscale_core import announcement, clock, retry, route, routing
 from reelscale_daemon import callers, ingress
-from reelscale_daemon.exchange import connection, pool
+from reelscale_daemon.exchange import connection
 from reelscale_daemon.filters import direct, relay, routed
 from reelscale_platform import ingress as surfaces
 from reelscale_platform import worker as dialects
-from twisted.internet import address, error, task
-from twisted.internet.testing import StringTransport
+from twisted.internet import error, task
 from twisted.python import failure
 
+from features import answer_transports as transports
+from standins import garbage
+
 REQUEST_ID = "00000000000000a1"
 FAULT = "fault of ours"
 TARGETS = {"chat": "llm", "read": "push", "push": "push"}
@@ -93,68 +95,6 @@
         ]
 
 
-class _Handle:
-    """A socket on which nothing waits."""
-
-    def setsockopt(self, *_: Any) -> None:
-        """Ignore an option."""
-
-    def recv(self, *_: Any) -> bytes:
-        """Say that nothing waits."""
-        raise BlockingIOError
-
-
-class Transport(StringTransport):
-    """A transport of either side."""
-
-    dataBuffer, offset, _tempDataLen = b"", 0, 0  # noqa: N815
-
-    def __init__(self) -> None:
-        super().__init__(
-            hostAddress=address.IPv4Address("TCP", "127.0.0.1", 1),
-            peerAddress=address.IPv4Address("TCP", "127.0.0.1", 2),
-        )
-        self.aborted = False
-
-    def getHandle(self) -> _Handle:  # noqa: N802
-        """Return the socket."""
-        return _Handle()
-
-    def abortConnection(self) -> None:  # noqa: N802
-        """Record that the connection was reset."""
-        self.aborted = True
-        super().abortConnection()
-
-    def fileno(self) -> int:
-        """Have no descriptor."""
-        raise OSError
-
-    def ignore(self, *_: Any) -> None:
-        """Do nothing."""
-
-    setTcpNoDelay = setTcpKeepAlive = ignore  # noqa: N815
-    loseWriteConnection = ignore  # noqa: N815
-
-
-class Pool(pool.Pool):
-    """A pool that opens connections to scripted upstreams."""
-
-    def __init__(self, reactor: Any, now: clock.Clock) -> None:
-        super().__init__(reactor=reactor, clock=now)
-        self.conns: list[connection.Connection] = []
-
-    async def _open(self, peer: str, _timeout_s: float) -> Any:
-        conn = connection.Connection(
-            reactor=self._reactor,
-            address=peer,
-            monitor=self._monitor,
-            on_lost=self._on_lost,
-        )
-        conn.makeConnection(Transport())
-        self.conns.append(conn)
-        return conn
-
-
 class _Recorder(logging.Handler):
     """Keeps what the program logs."""
 
@@ -197,7 +137,7 @@
           request_id: Id of the request.
         """
         self.reactor, self.clock = task.Clock(), clock.FakeClock()
-        self.caller = Transport()
+        self.caller = transports.Transport()
         self.calls: list[Any] = []
         # The caller reads nothing any more after so many bytes.
         self.pause_caller_after = math.inf
@@ -208,7 +148,7 @@
         self._expired = False
         self._failures: list[str] = []
         self._read = collections.Counter()
-        self._pool = Pool(self.reactor, self.clock)
+        self._pool = transports.Pool(self.reactor, self.clock)
         self._log = _Recorder()
         self.context = self._make_context()
 
@@ -351,7 +291,7 @@
             conn.connectionLost(failure.Failure(error.ConnectionDone()))
         self.reactor.advance(0)
 
-    def _stall(self, transport: Transport) -> None:
+    def _stall(self, transport: transports.Transport) -> None:
         """Let time pass until the upstream is given up."""
         for _ in range(STALL_STEPS):
             if transport.aborted:
@@ -440,9 +380,6 @@
     request_id: str = REQUEST_ID,
 ) -> tuple[list[bytes], list[bytes]]:
     """Return head lines and body pieces of a right answer."""
-    # Imported here, as stand-ins for steps and not for this module.
-    from standins import garbage
-
     media = {"chat": b"text/event-stream"}.get(kind, b"application/json")
     head = [
         b"HTTP/1.1 200 OK\r\n",
--- a/features/steps/answer_fuzz_steps.py
+++ b/features/steps/answer_fuzz_steps.py
@@ -10,7 +10,7 @@
 import hypothesis
 from behave import then, when
 from reelscale_core import events
-from reelscale_daemon.filters import answer_origin, direct_answer
+from reelscale_daemon.filters import answer_origin, success
 
 from features import answer_fuzzer as fuzzer
 
@@ -123,7 +123,7 @@
     "the order of events": _any_order,
     "the size of events": _raising_size,
     "the proof of successes": lambda: mock.patch.object(
-        direct_answer, "_flaw", lambda *_: ""
+        success, "flaw", lambda *_: ""
     ),
     "the id of answers": lambda: mock.patch.object(
         answer_origin, "of", lambda *_, **__: answer_origin.Origin.OWN
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -10,16 +10,17 @@
 
 import collections
 import re
-from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Callable
+from typing import Any
 
 import h11
 from reelscale_wire import outgoing
 from twisted.internet import defer, error, protocol
 
 from . import liveness, tcp
+from .message import ExchangeError, Head, Headers, Request
 
-Headers = Sequence[tuple[bytes, bytes]]
+__all__ = ["Connection", "ExchangeError", "Head", "Headers", "Request"]
 
 # Reading from the peer pauses when more of an answer is buffered.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -33,8 +34,6 @@
 LOST = "lost"
 # Error code of an exchange in which the peer sent bytes that are no answer.
 GARBLED = "garbled"
-# Bytes that an error keeps of those, for the log.
-SAMPLE_BYTES = 80
 # A connection is closed after it has carried this many named requests, which
 # bounds the memory for their ids.
 MAX_REQUEST_IDS = 1000
@@ -45,82 +44,9 @@
 SKIP_TIMEOUT_S = 1.0
 # More heads before that of the answer are no protocol's.
 MAX_INTERIM_HEADS = 8
-# Answers with these statuses never have a body.
-NO_BODY_STATUSES = frozenset((204, 304))
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
-class Request(NamedTuple):
-    """A request to send.
-
-    Attributes:
-      method: HTTP method.
-      path: Path and query, as bytes on the wire.
-      headers: All headers except those of the connection; must include
-        "Host".
-      body: The complete body.
-    """
-
-    method: bytes
-    path: bytes
-    headers: Headers
-    body: bytes = b""
-
-
-class Head(NamedTuple):
-    """Status and headers of an answer.
-
-    Attributes:
-      status: HTTP status.
-      headers: Names, in the spelling of the peer, and values.
-    """
-
-    status: int
-    headers: Headers
-
-    def get(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, None if there is none."""
-        return next(iter(self.get_all(name)), None)
-
-    def get_only(self, name: bytes) -> bytes | None:
-        """Return the value of a header that is there once, else None."""
-        values = self.get_all(name)
-        return values[0] if len(values) == 1 else None
-
-    def get_all(self, name: bytes) -> list[bytes]:
-        """Return the values of a header."""
-        wanted = name.lower()
-        return [value for key, value in self.headers if key.lower() == wanted]
-
-
-class ExchangeError(Exception):
-    """An exchange failed.
-
-    Attributes:
-      code: "unreachable", "lost", "garbled" or "silent".
-      peer: Address of the peer.
-      written: False if the peer provably received none of the request.
-      detail: What is wrong with the bytes of a "garbled" exchange.
-      sample: The first of these bytes.
-    """
-
-    def __init__(
-        self,
-        code: str,
-        *,
-        peer: str,
-        written: bool,
-        detail: str = "",
-        sample: bytes = b"",
-    ) -> None:
-        super().__init__(f"{code} at {peer}, written: {written}")
-        self.code = code
-        self.peer = peer
-        self.written = written
-        self.detail = detail
-        self.sample = sample[:SAMPLE_BYTES]
-
-
 class Connection(protocol.Protocol):
     """A pooled connection, used by one exchange at a time.
 
@@ -256,9 +182,9 @@
         if not isinstance(event, h11.Response):
             raise self.garbled("no head where one is due")
         head = Head(event.status_code, event.headers.raw_items())
-        if _has_two_framings(head):
+        if head.has_two_framings:
             raise self.garbled("both a length and chunks")
-        self.ended_by_close = self._method != b"HEAD" and _is_unframed(head)
+        self.ended_by_close = self._method != b"HEAD" and head.is_unframed
         self._read_keep_alive(head)
         return head
 
@@ -468,17 +394,3 @@
             sample=sample,
         )
         self._wake()
-
-
-def _has_two_framings(head: Head) -> bool:
-    """Return whether an answer has both a length and chunks."""
-    coding = head.get(b"transfer-encoding")
-    return coding is not None and head.get(b"content-length") is not None
-
-
-def _is_unframed(head: Head) -> bool:
-    """Return whether an answer ends with its connection."""
-    if head.status in NO_BODY_STATUSES:
-        return False
-    coding = head.get(b"transfer-encoding")
-    return head.get(b"content-length") is None and coding is None
--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/direct_answer.py
@@ -15,15 +15,12 @@
 from .. import logs
 from ..adapters import base
 from ..exchange import connection
-from . import answer_facts, answer_origin, attempt, call, writer
+from . import answer_facts, answer_origin, attempt, call, success, writer
 from . import context as contexts
 
 LOG = logs.Logger("attempt")
 # Answers with this status or above are failures of the upstream.
 MIN_FAILURE_STATUS = 500
-SUCCESSES = range(200, 300)
-EVENT_STREAM = b"text/event-stream"
-NO_CODING = b"identity"
 # Callers take these for the promise that a request has not run.
 PROMISES = frozenset((408, 421, 429, 503))
 # The own answer is awaited behind this many answers to earlier requests.
@@ -118,7 +115,7 @@
     context.outages.record_progress(active.request, active.name)
     if _may_mislead(active, head):
         raise await _unstated(active, head)
-    if flaw := _flaw(active.request, head):
+    if flaw := success.flaw(active.request, head):
         raise active.conn.garbled(flaw, repr(head.headers).encode())
     if active.request.stream and head.status == writer.OK:
         await _relay_events(active, head)
@@ -241,31 +238,6 @@
         )
 
 
-def _flaw(request: call.Call, head: base.AnswerHead) -> str:
-    """Return what a success lacks to be forwarded, "" for nothing."""
-    if head.status not in SUCCESSES:
-        return ""
-    if not head.proved:
-        return "a success without its proof"
-    if _value(head, b"content-encoding") not in (b"", NO_CODING):
-        return "a success with a content coding"
-    if request.stream and not _is_stream(head):
-        return "a success that is no stream"
-    return ""
-
-
-def _is_stream(head: base.AnswerHead) -> bool:
-    """Return whether an answer is a stream of events."""
-    media_type, _, _ = _value(head, b"content-type").partition(b";")
-    return head.status == writer.OK and media_type.strip() == EVENT_STREAM
-
-
-def _value(head: base.AnswerHead, name: bytes) -> bytes:
-    """Return the value of a header in lower case, empty if it is not there."""
-    values = [value for key, value in head.headers if key.lower() == name]
-    return b",".join(values).strip().lower()
-
-
 async def _relay_body(active: ActiveAttempt, head: base.AnswerHead) -> None:
     """Relay an answer; above MAX_BUFFERED_BYTES, while it is read."""
     out = active.out
@@ -281,7 +253,7 @@
             continue
         body += piece
         if len(body) > MAX_BUFFERED_BYTES:
-            if head.status not in SUCCESSES:
+            if head.status not in success.STATUSES:
                 raise active.conn.garbled("an error without end", piece)
             out.begin(head.status, head.headers)
             out.write([bytes(body)])
@@ -298,7 +270,7 @@
     An upstream that stops behind its head looks the same where the end of
     the connection ends the answer.
     """
-    return head.status in SUCCESSES and active.conn.ended_by_close
+    return head.status in success.STATUSES and active.conn.ended_by_close
 
 
 def _send_body(
