Show that a service is given up for good if its workers' clocks are behind

Callers would see: after the workers of a service have been replaced one after the other under their ids, every request to the service gets 503, though all its workers are ready and idle.

Order of events: a worker's answer says that it leaves; the worker starts again 2.1 s later with a time of day that is 2.4 s behind, so its start lies before that answer; the entry takes the leaving for that of the new start.

--- a/review/harness.py
+++ b/review/harness.py
@@ -252,6 +252,10 @@
         """Send a signal to a process of this case."""
         self._processes[name].send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process of this case."""
+        return self._processes[name].pid
+
     def status(self, name: str) -> int | None:
         """Return how a process has ended, None while it runs."""
         return self._processes[name].poll()
