--- a/review/5/case.py
+++ b/review/5/case.py
@@ -64,9 +64,7 @@
     for name, rows in made.ledgers().items():
         crashed += [(r["at"], name) for r in rows["crashes"]]
         reached += [
-            (r["at"], name, r["id"])
-            for r in rows["reached"]
-            if r["id"] in ids
+            (r["at"], name, r["id"]) for r in rows["reached"] if r["id"] in ids
         ]
     for at, name in sorted(crashed):
         made.note(f"{name} crashed at {at:.3f}")
--- a/review/harness.py
+++ b/review/harness.py
@@ -400,9 +400,7 @@
             self.answers.append(made)
         return made
 
-    def ask_together(
-        self, asks: list[Callable[[], Answer]]
-    ) -> list[Answer]:
+    def ask_together(self, asks: list[Callable[[], Answer]]) -> list[Answer]:
         """Send requests at the same moment; return their answers."""
         answers: list[Answer] = []
         gate = threading.Barrier(len(asks))
@@ -493,9 +491,7 @@
     }
 
 
-def play(
-    folder: pathlib.Path, case: Callable[[Deployment], str]
-) -> int:
+def play(folder: pathlib.Path, case: Callable[[Deployment], str]) -> int:
     """Play a case; return the exit status of its script.
 
     Args:
--- a/review/slow_worker.py
+++ b/review/slow_worker.py
@@ -7,9 +7,10 @@
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
-from standins import worker
 from twisted.internet import reactor
 
+from standins import worker
+
 WORK_S = 0.6
 
 
