--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,7 @@
 set -e
 cd "$(dirname "$0")/.."
 test -d target/deps
-PYTHONPATH=target/deps:. python3 -c 'import standins.store, standins.worker'
-PYTHONPATH=target/deps:.:review python3 -c 'import harness'
+PYTHONPATH=target/deps:. python3 -c \
+    'import standins.silent, standins.store, standins.worker'
+PYTHONPATH=target/deps:.:review python3 -c \
+    'import deadly_worker, harness, resting_worker, slow_worker'
--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import pathlib
 import random
 import shlex
+import shutil
 import signal
 import socket
 import struct
@@ -37,6 +38,8 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 # Whether the disruption happens; "0" leaves it out.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Whether the folder with the settings and logs of a play is kept.
+KEEPS_LOGS = os.environ.get("KEEP_LOGS", "0") != "0"
 
 
 class Answer(NamedTuple):
@@ -265,8 +268,15 @@
         self.signal(name, signal.SIGKILL)
         self._processes[name].wait()
 
-    def start_again(self, name: str) -> None:
-        """Start a worker that has ended at its address."""
+    def start_again(self, name: str, **more: Any) -> None:
+        """Start a worker that has ended at its address.
+
+        Args:
+          name: The worker.
+          more: Settings that it has from now on.
+        """
+        path = self._settings[name]
+        path.write_text(json.dumps({**json.loads(path.read_text()), **more}))
         self._start(name)
         address = self.workers[name]
         wait_for(lambda: try_call(address, "/control"), name)
@@ -307,6 +317,8 @@
         for process in self._processes.values():
             process.wait()
         self._record.close()
+        if not KEEPS_LOGS:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     # The store.
 
@@ -498,11 +510,13 @@
       folder: The folder of the case.
       case: Plays it; returns how the rule was broken, "" if it held.
     """
+    # One that is told to end ends what it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     made = Deployment(folder)
     try:
         broken = case(made)
         made.note(f"broken: {broken}" if broken else "the rule held")
-    except (NotReadyError, OSError, http.client.HTTPException) as failed:
+    except Exception as failed:
         made.note(f"could not run: {failed!r}")
         print(f"could not run: {failed!r}", file=sys.stderr)
         return NOT_RUN
