Show that a dropped route and key stay in force on a silent channel

Callers would see: a key that was taken away, and a route that was dropped, go on being served for eight seconds after the acknowledgement, at machines that say that they are ready.

Order of events: the channels to the store go silent; the first two entries by name are stopped as planned; a desired state is acknowledged 3.5 s later; the other entries wait up to 12.3 s for the answer of a read that never comes.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,88 +1,105 @@
-"""A request that crashes workers is repeated at once by its client."""
+"""Channels to the store go silent while two machines are taken away."""
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
 
 import pathlib
+import signal
 import sys
 import time
 
 import harness
 
+from standins import silent
+
 FOLDER = pathlib.Path(__file__).resolve().parent
-ENTRIES = ("f1", "f2", "f3", "f4")
-WORKERS = tuple(f"w{number}" for number in range(1, 9))
-PATH = "/push/deadly"
-# The crash from which the rule counts.
-CRASHES = 3
+# The machines that are taken away as planned, and those that stay.
+TAKEN, LEFT = ("f1", "f2"), ("f3", "f4")
 CONTACT_S = 3.0
-# From the moment at which the rule begins to count until it comes again.
-MARGIN_S = 0.7
-TIMES = 3
-MOST_LATE = 3
-SOUND_PER_S = 10.0
+APPLY_S = 2.0
+REVOKE_S = 5.0
+# From the moment at which machines are in touch again to the change.
+MARGIN_S = 0.5
+PAUSE_S = 0.1
+WATCHED_S = 14.0
+NEW_KEY = "second-key-of-acme"
+DROPPED = "/read/"
 
 
 def play(made: harness.Deployment) -> str:
     """Play the case; return how the rule was broken."""
     made.start_store()
-    for name in WORKERS:
-        made.add_worker(name, "push", module="review.deadly_worker")
+    for name, service in (("w1", "push"), ("w2", "push"), ("w3", "llm")):
+        made.add_worker(name, service)
         made.announce(name)
     made.configure()
-    for name in ENTRIES:
-        made.add_entry(name)
-    for name in ENTRIES:
+    relay = silent.Relay(to=made.store)
+    for name in (*TAKEN, *LEFT):
+        made.add_entry(name, platform=f"http://{relay.address}")
+    for name in (*TAKEN, *LEFT):
         made.start_entry(name)
-    for name in WORKERS:
-        part = "any" if harness.TROUBLE else ""
-        made.control(made.workers[name], part=part)
-    with harness.Steady(lambda n: sound(made, n), SOUND_PER_S):
-        time.sleep(2.0)
-        for number in range(TIMES):
-            made.note(f"time {number + 1}: the request and its repeats")
-            made.ask_together([lambda e=e: deadly(made, e) for e in ENTRIES])
-            time.sleep(CONTACT_S + MARGIN_S)
-    return judge(made)
-
-
-def sound(made: harness.Deployment, number: int) -> harness.Answer:
-    """Send a request that crashes nothing."""
-    entry = ENTRIES[number % len(ENTRIES)]
-    return made.ask(entry, f"/push/sound{number}", body=b"sound")
-
-
-def deadly(made: harness.Deployment, entry: str) -> harness.Answer:
-    """Send the request that crashes workers."""
-    return made.ask(entry, PATH, body=b"deadly")
-
-
-def judge(made: harness.Deployment) -> str:
-    """Count the repeats that reached workers too late."""
-    ids = {row.id for row in made.answers if row.path == PATH}
-    crashed, reached = [], []
-    for name, rows in made.ledgers().items():
-        crashed += [(r["at"], name) for r in rows["crashes"]]
-        reached += [
-            (r["at"], name, r["id"]) for r in rows["reached"] if r["id"] in ids
-        ]
-    for at, name in sorted(crashed):
-        made.note(f"{name} crashed at {at:.3f}")
-    for at, name, request_id in sorted(reached):
-        made.note(f"{request_id} reached {name} at {at:.3f}")
-    if len(crashed) < CRASHES:
-        made.note(f"{len(crashed)} crashes; the rule does not count")
-        return ""
-    bound = sorted(crashed)[CRASHES - 1][0] + CONTACT_S
-    late = [row for row in reached if row[0] > bound]
-    made.note(f"third crash + {CONTACT_S} s is {bound:.3f}")
-    if len(late) <= MOST_LATE:
+    time.sleep(3.0)
+    made.configure(tenants=[tenant(harness.KEY, NEW_KEY)])
+    made.note("a desired state that adds a key is acknowledged")
+    time.sleep(0.5)
+    if harness.TROUBLE:
+        made.note(f"{relay.go_silent()} channels to the store go silent")
+    silent_at = time.monotonic()
+    take_away(made)
+    in_touch = silent_at + CONTACT_S + MARGIN_S
+    time.sleep(max(MARGIN_S, in_touch - time.monotonic()))
+    kept = [r for r in made.config["routes"] if r["prefix"] != DROPPED]
+    made.configure(tenants=[tenant(NEW_KEY)], routes=kept)
+    acked = time.monotonic()
+    made.note(f"one without the first key and {DROPPED} is acknowledged")
+    while time.monotonic() < acked + WATCHED_S:
+        for name in LEFT:
+            new = {"Authorization": f"Bearer {NEW_KEY}"}
+            made.ask(name, f"{DROPPED}x", method="GET", body=b"", headers=new)
+            made.ask(name, "/push/old-key")
+        time.sleep(PAUSE_S)
+    return judge(made, acked)
+
+
+def take_away(made: harness.Deployment) -> None:
+    """Stop machines in order, and for good."""
+    for name in TAKEN:
+        made.note(f"{name} gets SIGTERM")
+        made.signal(name, signal.SIGTERM)
+    for name in TAKEN:
+        harness.wait_for(
+            lambda n=name: made.status(n) is not None, f"{name} to stop"
+        )
+        made.note(f"{name} has stopped")
+
+
+def tenant(*keys: str) -> dict[str, object]:
+    """Return the tenant with some keys."""
+    return {"name": "acme", "api_keys": keys, "prio": 1}
+
+
+def judge(made: harness.Deployment, acked: float) -> str:
+    """Count the requests that only the older version allows."""
+    routed = late_runs(made, DROPPED, acked + APPLY_S)
+    keyed = late_runs(made, "/push/old-key", acked + REVOKE_S)
+    made.note(f"run on the dropped route after {APPLY_S} s: {len(routed)}")
+    made.note(f"run with the dropped key after {REVOKE_S} s: {len(keyed)}")
+    if not routed:
         return ""
+    last_s = max(row.at for row in routed) - acked
     return (
-        f"the request reached workers {len(late)} times later than "
-        f"{CONTACT_S} s after the third of {len(crashed)} crashes"
+        f"{len(routed)} requests on a dropped route were run, sent up to "
+        f"{last_s:.1f} s after the acknowledgement"
     )
 
 
+def late_runs(
+    made: harness.Deployment, path: str, due: float
+) -> list[harness.Answer]:
+    """Return the requests of a path that were run though sent too late."""
+    asked = [row for row in made.answers if row.path.startswith(path)]
+    return [row for row in asked if row.at > due and row.status == 200]
+
+
 if __name__ == "__main__":
     sys.exit(harness.play(FOLDER, play))
