--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,9 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 # The machines that are taken away as planned, and those that stay.
-TAKEN, LEFT = ("f1", "f2"), ("f3", "f4")
+TAKEN, LEFT = ("f1", "f2"), ("f3", "f4", "f5")
+# From one stop to the next.
+GAP_S = 1.3
 CONTACT_S = 3.0
 APPLY_S = 2.0
 REVOKE_S = 5.0
@@ -66,6 +68,7 @@
     for name in TAKEN:
         made.note(f"{name} gets SIGTERM")
         made.signal(name, signal.SIGTERM)
+        time.sleep(GAP_S)
     for name in TAKEN:
         harness.wait_for(
             lambda n=name: made.status(n) is not None, f"{name} to stop"
