Give up a read of the store once no answer confirms what is known

What callers saw: after connections to the store had gone silent and the two entries that read often had ended, the others ran requests on a dropped route until 7.3 s after the change was acknowledged; 2 s are allowed.

Cause: a read's wait was chosen once, by the place of the entry's name among those heard. All but two waited 12 s and relied on two neighbours, by the mere fact that these were alive. Neither their end, nor a neighbour that was itself cut off from the store, changed anything for a read that already waited. Ruled out by logs: several lost reads, a lost pull, a late application, the stand-in.

Change: datagrams carry the age of the store's last answer to their sender. An answer to an entry that has no more than this one confirms what is known here. Without a confirmation for 1.5 to 1.7 s a waiting read is cancelled and the store asked without waiting, on a new connection; no older one is used again. Two entries with recent answers, the first by name, read each 0.75 to 1.0 s; whoever is cut off does not count. The list of upstreams is read the same way. Age and number of given-up reads are metrics, each decision is a line.

--- a/features/models/restores.py
+++ b/features/models/restores.py
@@ -391,8 +391,9 @@
         links=None,
         agent_port=0,
         peers=tuple,
-        poll_s=lambda: 1.0,
-        watches=lambda: True,
+        freshness=platform_directory.make_freshness(
+            world.reactor, world.clock, entry.name
+        ),
         name=entry.name,
         metrics=metrics.Metrics(),
     )
--- a/features/platform_directory.py
+++ b/features/platform_directory.py
@@ -6,9 +6,9 @@
 import json
 import types
 
-from reelscale_core import clock
+from reelscale_core import clock, confirmation
 from reelscale_daemon import metrics
-from reelscale_daemon.controllers import directory, usage
+from reelscale_daemon.controllers import directory, freshness, usage
 from reelscale_platform import roster
 from reelscale_platform import store as stores
 from twisted.internet import defer, task
@@ -94,8 +94,7 @@
             links=None,
             agent_port=0,
             peers=tuple,
-            poll_s=lambda: 0.0,
-            watches=lambda: True,
+            freshness=make_freshness(self.reactor, self.clock, "f1"),
             name="f1",
             metrics=self.metrics,
         )
@@ -120,6 +119,17 @@
         return {v.upstream.name for v in views if v.serves("push")}
 
 
+def make_freshness(reactor, clocks, name):
+    """Return the reads of the list by an entry that hears no others."""
+    return freshness.Freshness(
+        reactor=reactor,
+        clock=clocks,
+        name=name,
+        source="list",
+        reached=lambda: confirmation.Reached(0),
+    )
+
+
 def make_usage(reactor, clocks, *, counts=dict):
     """Return the usage of an entry that exchanges none."""
     return usage.Usage(
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -21,27 +21,32 @@
     When 60 generated traces and 100 seeded ones of the restores model run
     Then no trace violates the invariant
 
+  Scenario: Entries learn of changes in time while neighbours come and go
+    When 40 generated traces and 60 seeded ones of the silent_reads model run
+    Then no trace violates the invariant
+
   Scenario Outline: The <model> model finds a fault <rules>
     When the recorded trace of the <model> model <rules> is replayed
     Then it violates the invariant
     But the same trace with the rules as built does not
 
     Examples:
-      | model    | rules                                        |
-      | lockstep | without fences                               |
-      | lockstep | without the decision phase                   |
-      | lockstep | without holding                              |
-      | lockstep | without asking again after a loss            |
-      | relayout | without holding                              |
-      | relayout | without refusing earlier holders             |
-      | relayout | without arming every rank                    |
-      | relayout | without knowing the silent rank              |
-      | oncekeys | without asking earlier homes                 |
-      | oncekeys | without refusing keys from before a restart  |
-      | exchange | without tombstones                           |
-      | exchange | without checking the incarnation             |
-      | exchange | without sequence numbers                     |
-      | restores | without the incarnation                      |
+      | model        | rules                                       |
+      | lockstep     | without fences                              |
+      | lockstep     | without the decision phase                  |
+      | lockstep     | without holding                             |
+      | lockstep     | without asking again after a loss           |
+      | relayout     | without holding                             |
+      | relayout     | without refusing earlier holders            |
+      | relayout     | without arming every rank                   |
+      | relayout     | without knowing the silent rank             |
+      | oncekeys     | without asking earlier homes                |
+      | oncekeys     | without refusing keys from before a restart |
+      | exchange     | without tombstones                          |
+      | exchange     | without checking the incarnation            |
+      | exchange     | without sequence numbers                    |
+      | restores     | without the incarnation                     |
+      | silent_reads | without confirmations                       |
 
   Scenario Outline: A group converges to its target layout once faults cease
     When 200 seeded traces of the <model> model run and faults cease
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -20,6 +20,7 @@
     oncekeys,
     relayout_engine,
     restores,
+    silent_reads,
 )
 
 TRACES = pathlib.Path(__file__).parent.parent / "traces"
@@ -30,6 +31,7 @@
     oncekeys.DoubleRunError,
     relayout_engine.MixedLayoutsError,
     restores.RestoreError,
+    silent_reads.LateError,
 )
 RANKED = ("lockstep", "relayout")
 EVENTS = 400
--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/base.py
@@ -48,7 +48,14 @@
     """The log from which the configuration is folded."""
 
     async def read(self, from_offset: int, *, wait_s: float) -> Rows:
-        """Read records, waiting for the first; CodedError "log-down"."""
+        """Read records, waiting for the first.
+
+        If it is cancelled while it waits, it asks again without waiting, on a
+        new connection.
+
+        Raises:
+          CodedError: "log-down".
+        """
         ...
 
     async def append(self, records: list[dict[str, Any]]) -> int:
@@ -64,18 +71,24 @@
       next_offset: Position of the next page; see reelscale_core.position.
       complete: Whether items are the complete list, so that upstreams not in
         it were removed.
+      more: Whether further changes follow that the page had no room for.
     """
 
     items: list[announcement.Item]
     next_offset: int
     complete: bool = False
+    more: bool = False
 
 
 class Roster(Protocol):
     """The platform's list of upstreams."""
 
     async def read(self, from_offset: int, *, wait_s: float) -> RosterPage:
-        """Read changes from an offset on; CodedError "log-down"."""
+        """Read changes from an offset on; cancelled as Source.read() is.
+
+        Raises:
+          CodedError: "log-down".
+        """
         ...
 
 
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -22,7 +22,14 @@
 
 from .. import logs, slices
 from ..adapters import base
-from . import follower, log_checks, snapshots, state_dumps, state_waits
+from . import (
+    follower,
+    freshness,
+    log_checks,
+    snapshots,
+    state_dumps,
+    state_waits,
+)
 
 LOG = logs.Logger("config")
 RETRY_S = 0.25
@@ -54,7 +61,7 @@
         links: link.Links,
         peers: tuple[str, ...],
         snapshot_every: int,
-        poll_s: Callable[[], float] = lambda: POLL_S,
+        reads: freshness.Reads | None = None,
         peer_lead_s: float | None = None,
     ) -> None:
         """Initialize with an empty state; run() follows the log.
@@ -66,7 +73,8 @@
           links: Connections to peers.
           peers: Addresses of some peers.
           snapshot_every: Records after which a snapshot is written.
-          poll_s: Returns how long the next read waits at the log.
+          reads: How long reads wait at the log, and when one is given up;
+            POLL_S and never if None.
           peer_lead_s: How long a peer may be ahead before its state is
             adopted while the log answers; None for never.
         """
@@ -83,7 +91,7 @@
         self._log_checks = log_checks.LogChecks()
         self._dumps = state_dumps.StateDumps(reactor=reactor)
         self._snapshots = snapshots.Snapshots(every=snapshot_every)
-        self._poll_s = poll_s
+        self._reads = reads or freshness.SteadyReads(wait_s=POLL_S)
         self._log_at = float("-inf")
         self._listeners: list[Callable[[states.State], None]] = []
         self._waits = state_waits.StateWaits(reactor=reactor)
@@ -138,6 +146,7 @@
 
     async def _confirm(self) -> None:
         """Read newer records of the log, or query peers if it is down."""
+        asked_at = self._clock.monotonic()
         try:
             got = await self._platform.read(self.state.offset + 1, wait_s=0)
         except error.CodedError as down:
@@ -145,6 +154,7 @@
             return
         self._log_at = self._clock.monotonic()
         self._apply(fold.fold(self.state, got.rows))
+        self._record_answer(got, asked_at=asked_at, wait_s=0.0)
         self.ready = True
 
     def _end_confirmation(self) -> None:
@@ -166,7 +176,7 @@
         may_wait = self.ready and not self._failing
         before = self.state.offset
         began_at = self._clock.monotonic()
-        await self._read(self._poll_s() if may_wait else 0.0)
+        await self._read(self._reads.wait_s() if may_wait else 0.0)
         self._failing = False
         waited_s = self._clock.monotonic() - began_at
         is_refused = may_wait and waited_s < RETRY_S
@@ -253,7 +263,9 @@
 
     async def _read(self, wait_s: float) -> None:
         from_offset = self.state.offset + 1
-        got = await self._platform.read(from_offset, wait_s=wait_s)
+        asked_at = self._clock.monotonic()
+        read = self._platform.read(from_offset, wait_s=wait_s)
+        got = await (self._reads.run(read) if wait_s else read)
         self._log_at = self._clock.monotonic()
         self._outage_logged = False
         self._log_checks.check_end(self.state, from_offset, got.head)
@@ -262,11 +274,19 @@
             return
         self._apply(fold.fold(self.state, got.rows))
         self._snapshots.record(got.rows)
+        self._record_answer(got, asked_at=asked_at, wait_s=wait_s)
         if self.state.offset + 1 >= got.head:
             self.ready = True
             self.gap = False
         await self._maybe_snapshot(got.oldest)
 
+    def _record_answer(
+        self, got: base.Rows, *, asked_at: float, wait_s: float
+    ) -> None:
+        """Record an answer of the log after which no record is missing."""
+        if self.state.offset + 1 >= got.head:
+            self._reads.record_answer(asked_at=asked_at, wait_s=wait_s)
+
     async def _jump(self, got: base.Rows) -> None:
         """Skip records that the log has dropped, by a snapshot."""
         rows: list[tuple[int, Any]] = []
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/directory.py
@@ -30,6 +30,7 @@
 from ..exchange import pool
 from . import (
     follower,
+    freshness,
     list_outage,
     outdated,
     peer_lists,
@@ -40,12 +41,12 @@
 from . import view as views
 
 LOG = logs.Logger("directory")
-# Interval between reads of the list, in seconds, at the first entries by name.
+# Interval between reads of the list, in seconds, at those who read often.
 # Many upstreams start or leave together, and each read costs a call.
 # Where heartbeats are records, every read returns some, so not all entries
 # read this often.
 POLL_INTERVAL_S = 0.3
-# The same at the other entries, which get changes from the first ones sooner.
+# The same at the other entries, which get changes from those sooner.
 # Short enough to notice a leaving upstream well before it ends.
 SECONDARY_POLL_INTERVAL_S = 0.9
 # Minimum delay after a failed read, in seconds; jittered up to twice as long.
@@ -73,8 +74,7 @@
         links: link.Links,
         agent_port: int,
         peers: Callable[[], Iterable[str]],
-        poll_s: Callable[[], float],
-        watches: Callable[[], bool],
+        freshness: freshness.Freshness,
         name: str,
         metrics: metrics.Metrics,
     ) -> None:
@@ -92,8 +92,7 @@
         self._roster = roster
         self._connections = connections
         self._lists = lists
-        self._poll_s = poll_s
-        self._watches = watches
+        self._freshness = freshness
         self._name = name
         self._starts = starts.Starts()
         self._latest = latest.Latest(clock=clock)
@@ -124,7 +123,9 @@
         """Read the list once; return the seconds until the next read."""
         await self._read()
         pause_s = (
-            POLL_INTERVAL_S if self._watches() else SECONDARY_POLL_INTERVAL_S
+            POLL_INTERVAL_S
+            if self._freshness.is_reader()
+            else SECONDARY_POLL_INTERVAL_S
         )
         return pause_s * (0.75 + random.random() / 2)
 
@@ -199,14 +200,18 @@
     async def _read(self) -> None:
         """Read the list, or its changes since the last read."""
         long_poll = self.ready and not self._outage.down
-        wait_s = self._poll_s() if long_poll else 0.0
+        wait_s = self._freshness.wait_s() if long_poll else 0.0
         from_offset = self._next
-        page = await self._roster.read(from_offset, wait_s=wait_s)
+        asked_at = self._clock.monotonic()
+        read = self._roster.read(from_offset, wait_s=wait_s)
+        page = await (self._freshness.run(read) if wait_s else read)
         if self._outage.record_up():
             self._recovered_at = self._clock.monotonic()
         if self._next == from_offset or page.next_offset > self._next:
             # Otherwise a peer's newer list has been applied meanwhile.
             self._apply_page(page)
+        if not page.more:
+            self._freshness.record_answer(asked_at=asked_at, wait_s=wait_s)
 
     def _apply_page(self, page: base.RosterPage) -> None:
         """Apply changes of the list, or a complete list."""
--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/usage.py
@@ -94,7 +94,7 @@
 
     Attributes:
       updates: Sources of further data in the datagrams.
-      on_removed: Called with the name of an entry that timed out.
+      on_removed: Functions called with the name of an entry that timed out.
       entries: The entries that share the rate limits of upstreams.
       on_configuration: Called with another entry's configuration offset and
         version.
@@ -140,7 +140,7 @@
         self.on_configuration: ConfigurationListener = _ignore
         self.on_roster_offset: OffsetListener = _ignore
         self.on_change: Callable[[], None] = lambda: None
-        self.on_removed: Callable[[str], None] = _ignore_name
+        self.on_removed: list[Callable[[str], None]] = []
         self.updates: tuple[Updates, ...] = ()
         self._reactor = reactor
         self._clock = clock
@@ -312,7 +312,8 @@
         for peer in list(self._peers.values()):
             if now - peer.received_at > PEER_TIMEOUT_S:
                 del self._peers[peer.name]
-                self.on_removed(peer.name)
+                for forget in self.on_removed:
+                    forget(peer.name)
                 LOG.info(
                     "Removed an unresponsive entry and its request counts.",
                     name=peer.name,
@@ -345,10 +346,6 @@
     """Ignore what an entry has until a listener is set."""
 
 
-def _ignore_name(_name: str) -> None:
-    """Ignore a name until a listener is set."""
-
-
 def _is_valid(message: ttypes.Usage) -> bool:
     """Return whether a datagram is complete and valid."""
     counts_fields = (
@@ -365,6 +362,8 @@
     )
     if None in (*counts_fields, *other_fields):
         return False
+    if min(message.log_age_ms or 0, message.roster_age_ms or 0) < 0:
+        return False
     valid_hosts = all(addresses.is_host(host) for host in message.known)
     valid_counts = all(0 <= n <= MAX_REQUESTS for n in message.counts.values())
     return valid_hosts and valid_counts and addresses.is_address(message.peer)
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import Any
 
-from reelscale_core import clock, position, settings
+from reelscale_core import clock, confirmation, position, settings
 from reelscale_wire import link
 from reelscale_wire.gen import Peer, ttypes
 from twisted.internet import defer, task
@@ -17,10 +17,10 @@
 from . import callers, health, ingress, logs, metrics, process, site
 from .adapters import base
 from .controllers import (
-    config,
     crash_evidence,
     directory,
     follower,
+    freshness,
     peer_lists,
     suspects,
     suspension,
@@ -57,13 +57,6 @@
 # A peer that is ahead in the configuration for this long, in seconds, is
 # asked for it; entries that read the same record differ by some 0.05 s.
 PEER_LEAD_S = 0.3
-# The first so many entries, by name, read the log often enough to notice that
-# an answer was lost; one may be cut off.
-WATCHERS = 2
-# The reads of the others wait this long, in seconds.  A new record answers
-# them at once, and when an answer is lost they learn from the datagrams of
-# the first ones that they are behind.  Each call has a price.
-LONG_POLL_S = 12.0
 
 
 @implementer(Peer.Iface)
@@ -77,13 +70,30 @@
         self._metrics = metrics.Metrics()
         self._connections = pool.Pool(reactor=reactor, clock=self._clock)
         self._adapter = self._make_adapter()
+        self._configuration_reads = freshness.Freshness(
+            reactor=reactor,
+            clock=self._clock,
+            name=settings.name,
+            source="configuration",
+            reached=self._configuration_reached,
+        )
+        self._roster_reads = freshness.Freshness(
+            reactor=reactor,
+            clock=self._clock,
+            name=settings.name,
+            source="list",
+            reached=lambda: confirmation.Reached(self._directory.offset),
+        )
         self._base = process.Base(
             reactor=reactor,
             settings=settings,
             platform=self._adapter.source,
             clock=self._clock,
             peer_lead_s=PEER_LEAD_S,
-            poll_s=self._poll_s,
+            reads=self._configuration_reads,
+        )
+        self._freshness = freshness.Exchange(
+            configuration=self._configuration_reads, roster=self._roster_reads
         )
         self._usage = self._make_usage()
         self._directory = directory.Directory(
@@ -98,8 +108,7 @@
             links=self._base.links,
             agent_port=settings.agent_port,
             peers=self._known_peers,
-            poll_s=self._poll_s,
-            watches=self._watches,
+            freshness=self._roster_reads,
             name=settings.name,
             metrics=self._metrics,
         )
@@ -141,18 +150,15 @@
             connections=self._connections,
         )
 
-    def _poll_s(self) -> float:
-        """Return how long the next read of the log waits there."""
-        return config.POLL_S if self._watches() else LONG_POLL_S
+    def _configuration_reached(self) -> confirmation.Reached:
+        """Return what this entry has read of the log."""
+        state = self._base.config.state
+        return confirmation.Reached(state.offset, state.version)
 
     def _known_peers(self) -> frozenset[str]:
         """Return the entries of the settings and those heard lately."""
         return self._usage.peers.union(self._base.config.peers)
 
-    def _watches(self) -> bool:
-        """Tell whether this entry is one of those that read often."""
-        return self._usage.place < WATCHERS
-
     def _make_usage(self) -> usage.Usage:
         own = self.settings
         return usage.Usage(
@@ -192,11 +198,18 @@
         self._base.config.listen(self._directory.apply_config)
         self._parts.on_local_change = self._usage.changed
         self._usage.on_change = self._parts.pump
-        self._usage.on_removed = self._suspects.forget
+        self._configuration_reads.on_answer = self._usage.changed
+        self._roster_reads.on_answer = self._usage.changed
+        self._usage.on_removed.append(self._suspects.forget)
+        self._usage.on_removed.append(self._freshness.forget)
         self._suspects.on_convicted.append(
             lambda: suspect.refuse_waiting(self._parts)
         )
-        self._usage.updates = (self._directory.rate_limits, self._suspects)
+        self._usage.updates = (
+            self._freshness,
+            self._directory.rate_limits,
+            self._suspects,
+        )
         self._usage.on_configuration = self._base.config.record_peer_offset
         self._usage.on_roster_offset = self._directory.on_peer_offset
 
@@ -329,4 +342,7 @@
         self._base.set_gauges(self._metrics)
         self._metrics.backing_off.set({}, self._directory.backoffs.count())
         self._metrics.set_progress(self._progress())
+        self._metrics.set_freshness(
+            (self._configuration_reads, self._roster_reads)
+        )
         self._parts.set_gauges()
--- a/packages/reelscale-daemon/src/reelscale_daemon/metrics.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/metrics.py
@@ -12,7 +12,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from .controllers import follower
+from .controllers import follower, freshness
 
 WORKSPACES_NAMED = 64
 OTHER = "other"
@@ -83,6 +83,16 @@
             "reelscale_loop_faults",
             "Unforeseen errors of a loop since the start, by loop.",
         )
+        self.confirmed_age = self._gauge(
+            "reelscale_confirmed_age_seconds",
+            "Since an answer of the store to this entry or a peer confirmed "
+            "what it knows, by source.",
+        )
+        self.reads_renewed = self._gauge(
+            "reelscale_reads_renewed",
+            "Reads given up since the start as nothing confirmed what is "
+            "known, by source.",
+        )
         self.unusable = self._counter(
             "reelscale_announcements_unusable_total",
             "Announcements of upstreams that cannot be trusted, by reason.",
@@ -102,6 +112,13 @@
             self.loop_age.set(labels, progress.success_age_s)
             self.loop_faults.set(labels, progress.faults)
 
+    def set_freshness(self, sources: Iterable[freshness.Freshness]) -> None:
+        """Set the gauges of the sources that are read, before a scrape."""
+        for source in sources:
+            labels = {"source": source.source}
+            self.confirmed_age.set(labels, source.age_s)
+            self.reads_renewed.set(labels, source.renewed)
+
     def workspace(self, name: str) -> str:
         """Return the label for a workspace: its name, or "other"."""
         if name in self._named:
--- a/packages/reelscale-daemon/src/reelscale_daemon/process.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/process.py
@@ -16,7 +16,7 @@
 from twisted.python import failure
 
 from . import logs, metrics, site
-from .controllers import config
+from .controllers import config, freshness
 
 LOG = logs.Logger("process")
 # A process that stops looks this often, in seconds, whether its requests
@@ -231,7 +231,7 @@
         platform: Any,
         clock: clock.Clock,
         peer_lead_s: float | None = None,
-        poll_s: Callable[[], float] = lambda: config.POLL_S,
+        reads: freshness.Reads | None = None,
     ) -> None:
         super().__init__(reactor=reactor, clock=clock)
         self.settings = settings
@@ -246,7 +246,7 @@
             peers=settings.peers,
             snapshot_every=settings.snapshot_every,
             peer_lead_s=peer_lead_s,
-            poll_s=poll_s,
+            reads=reads,
         )
 
     def not_ready(self) -> str:
--- a/packages/reelscale-wire/reelscale.thrift
+++ b/packages/reelscale-wire/reelscale.thrift
@@ -193,6 +193,9 @@
   9: optional list<RateLimit> limits,
   10: optional list<Suspect> suspects,
   11: optional i64 version,  // Of the configuration in force at the sender.
+  // Since the log, and the list, last told the sender that it has all of it.
+  12: optional i32 log_age_ms,
+  13: optional i32 roster_age_ms,
 }
 
 // What the agent of a rank is asked for; see core/rank.py.
--- a/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
+++ b/packages/reelscale-wire/src/reelscale_wire/gen/ttypes.py
@@ -2175,11 +2175,13 @@
      - limits
      - suspects
      - version
+     - log_age_ms
+     - roster_age_ms
 
     """
 
 
-    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None, offset=None, peer=None, roster_offset=None, limits=None, suspects=None, version=None,):
+    def __init__(self, name=None, incarnation=None, number=None, counts=None, known=None, offset=None, peer=None, roster_offset=None, limits=None, suspects=None, version=None, log_age_ms=None, roster_age_ms=None,):
         self.name = name
         self.incarnation = incarnation
         self.number = number
@@ -2191,6 +2193,8 @@
         self.limits = limits
         self.suspects = suspects
         self.version = version
+        self.log_age_ms = log_age_ms
+        self.roster_age_ms = roster_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2279,6 +2283,16 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.log_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.roster_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2346,6 +2360,14 @@
             oprot.writeFieldBegin('version', TType.I64, 11)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.log_age_ms is not None:
+            oprot.writeFieldBegin('log_age_ms', TType.I32, 12)
+            oprot.writeI32(self.log_age_ms)
+            oprot.writeFieldEnd()
+        if self.roster_age_ms is not None:
+            oprot.writeFieldBegin('roster_age_ms', TType.I32, 13)
+            oprot.writeI32(self.roster_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3488,6 +3510,8 @@
     (9, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 9
     (10, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 10
     (11, TType.I64, 'version', None, None, ),  # 11
+    (12, TType.I32, 'log_age_ms', None, None, ),  # 12
+    (13, TType.I32, 'roster_age_ms', None, None, ),  # 13
 )
 all_structs.append(RankQuery)
 RankQuery.thrift_spec = (
--- a/standins/silent.py
+++ b/standins/silent.py
@@ -61,6 +61,7 @@
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.opened = 0
         self.ended = 0
+        self._is_cut = False
         self._lock = threading.Lock()
         self._silences: dict[socket.socket, Silence] = {}
         threading.Thread(target=self._accept, daemon=True).start()
@@ -82,6 +83,11 @@
                 silence.back = silence.back or how in (BACK, BOTH)
             return len(self._silences)
 
+    def cut(self) -> None:
+        """Silence what is open and what is opened from now on."""
+        self._is_cut = True
+        self.go_silent()
+
     def close(self) -> None:
         """Listen no longer and end all connections."""
         _end(self._listener)
@@ -110,6 +116,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         silence = Silence()
         with self._lock:
+            silence.there = silence.back = self._is_cut
             self.opened += 1
             self._silences[caller] = silence
         back = threading.Thread(
