Forward no answer whose status is none

What callers could see: an answer with a status of 600 to 999 from a worker, as their answer; and on the own interface whatever number an engine or a service sent, 000 and -20 among them.

Cause: the parser of the entry's connections takes any three digits from 200 on, the HTTP client of the agents any number; nothing compared it with the statuses that there are (RFC 9110, 15: a final answer has 200 to 599). The case that was reported, 000 to a caller of the platform, was safe: the parser rejects it, and the request goes on elsewhere or ends as 502.

Change: a head without a status is garbled: the connection is reset, the circuit charged, a request that may run twice goes on elsewhere, others get 502. An agent ends such an answer as "upstream-garbled" and drops its connection.

All of 200 to 599 reach a caller as before, but those that promise what nobody knows.

--- a/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/adapters/upstream.py
@@ -14,6 +14,7 @@
 from zope.interface import implementer
 
 from .. import logs
+from ..exchange import message
 from . import bounded_body
 
 LOG = logs.Logger("upstream")
@@ -149,6 +150,14 @@
         self.transport.loseConnection()
 
 
+class _Unread(protocol.Protocol):
+    """Ends the connection of an answer instead of reading its body."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """End the connection."""
+        self.transport.loseConnection()
+
+
 class RawBody(protocol.Protocol):
     """Forwards a plain body chunk by chunk."""
 
@@ -242,6 +251,10 @@
         exchange = Exchange(pending)
 
         def on_response(response: Any) -> None:
+            if response.code not in message.FINAL_STATUSES:
+                _reject_status(response)
+                sink.end("upstream-garbled", False)
+                return
             head = Head(response.code, _forwarded(response.headers))
             sink.head(head)
             split = events and _is_event_stream(response.headers)
@@ -282,6 +295,15 @@
         return orjson.loads(text)
 
 
+def _reject_status(response: Any) -> None:
+    """Read nothing of an answer whose status is none; end its connection."""
+    LOG.warning(
+        "An upstream answered with what is no status.", status=response.code
+    )
+    # The connection goes with whoever reads the body.
+    response.deliverBody(_Unread())
+
+
 def _is_object(data: bytes) -> bool:
     """Return whether bytes are a JSON object."""
     try:
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -18,7 +18,13 @@
 from twisted.internet import defer, error, protocol
 
 from . import liveness, tcp
-from .message import ExchangeError, Head, Headers, Request
+from .message import (
+    FINAL_STATUSES,
+    ExchangeError,
+    Head,
+    Headers,
+    Request,
+)
 
 __all__ = ["Connection", "ExchangeError", "Head", "Headers", "Request"]
 
@@ -181,6 +187,8 @@
         event = await self._next()
         if not isinstance(event, h11.Response):
             raise self.garbled("no head where one is due")
+        if event.status_code not in FINAL_STATUSES:
+            raise self.garbled(f"no status: {event.status_code}")
         head = Head(event.status_code, event.headers.raw_items())
         if head.has_two_framings:
             raise self.garbled("both a length and chunks")
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/message.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/message.py
@@ -12,6 +12,8 @@
 SAMPLE_BYTES = 80
 # Answers with these statuses never have a body.
 NO_BODY_STATUSES = frozenset((204, 304))
+# A final answer has one of these (RFC 9110, 15); no other number is a status.
+FINAL_STATUSES = range(200, 600)
 
 
 class Request(NamedTuple):
