Stop reading an upstream whose answer has bytes behind its end

What callers could see: an entry that ends for want of memory, and their requests with it.

Cause: once an answer was whole, its connection read on while the exchange was not over. A caller that reads slowly keeps an exchange open as long as its time lasts; all that an upstream sent behind its answer went into the parser's buffer, without a bound. Garbage before the end was bounded, and with a caller that reads the exchange ends at once, so no test met it.

Change: the connection is paused at the first bytes behind an answer that is read to its end, and as before is not reused. Reading goes on where an answer behind a surplus one is due, and before the next exchange.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -34,6 +34,16 @@
     When a success comes without end to a caller who reads nothing
     Then little of it is held, and the caller sees that it breaks off
 
+  Scenario Outline: Bytes without end follow a whole answer to <kind>
+    When bytes without end follow a whole answer to <kind> whose caller reads nothing
+    Then at most 512 KB of all this is taken from the upstream
+
+    Examples:
+      | kind                              |
+      | a stream                          |
+      | a request that may run twice      |
+      | a request that must not run twice |
+
   Scenario: A surplus answer comes without end
     When a surplus answer comes without end
     Then at most 256 KB of it are read
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -132,6 +132,30 @@
     assert seen.read[0] <= 1024 * KILOBYTE, seen.read
 
 
+@when(
+    "bytes without end follow a whole answer to {kind} whose caller reads "
+    "nothing"
+)
+def _(context, kind):
+    kind = KINDS[kind]
+    # What the caller gets before it stops reading, and the rest.
+    if kind == "chat":
+        body = [garbage.event(1), garbage.event(2), garbage.event(3)]
+    else:
+        body = [b"x" * 300 * KILOBYTE, b"x", b"x"]
+    first, *rest = (b"%x\r\n%b\r\n" % (len(p), p) for p in body)
+    pieces = [_success(kind) + first, b"".join(rest) + b"0\r\n\r\n"]
+    script = paths.Script([*pieces, *[PIECE] * PIECES], "stall")
+    play = paths.Play([lambda _after: script], kind=kind)
+    play.pause_caller_after = 0
+    context.seen = play.run()
+
+
+@then("at most {limit:d} KB of all this is taken from the upstream")
+def _(context, limit):
+    _check_read(context, limit)
+
+
 @when("a surplus answer comes without end")
 def _(context):
     conn = tcp.Pool().acquire_now()
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/connection.py
@@ -246,6 +246,7 @@
         )
         self._http.send(request)
         self._http.send(h11.EndOfMessage())
+        self._resume()
         if rest:
             self._feed(rest)
         if closed:
@@ -343,10 +344,29 @@
                 self._buffered += len(event.data)
             if isinstance(event, h11.EndOfMessage):
                 break
-        if self._buffered > MAX_BUFFERED_BYTES and not self._paused:
+        if self._buffered > MAX_BUFFERED_BYTES or self._has_bytes_behind():
+            self._pause()
+        self._wake()
+
+    def _has_bytes_behind(self) -> bool:
+        """Return whether bytes follow an answer that is read to its end.
+
+        Its reader may wait for a slow caller; the parser would keep them all.
+        """
+        is_over = self._http.their_state is h11.DONE
+        return is_over and bool(self._http.trailing_data[0])
+
+    def _pause(self) -> None:
+        """Read no more from the peer for now."""
+        if not self._paused and self.transport is not None:
             self._paused = True
             self.transport.pauseProducing()
-        self._wake()
+
+    def _resume(self) -> None:
+        """Read on after a pause."""
+        if self._paused:
+            self._paused = False
+            self.transport.resumeProducing()
 
     def _count_interim_head(self) -> None:
         """Count a head before that of the answer; too many are no protocol."""
@@ -356,9 +376,9 @@
 
     def _consume(self, size: int) -> None:
         self._buffered -= size
-        if self._paused and self._buffered <= MAX_BUFFERED_BYTES // 2:
-            self._paused = False
-            self.transport.resumeProducing()
+        is_low = self._buffered <= MAX_BUFFERED_BYTES // 2
+        if is_low and not self._has_bytes_behind():
+            self._resume()
 
     def _wake(self) -> None:
         waiter, self._waiter = self._waiter, None
@@ -382,6 +402,7 @@
         if not done or surplus or closed or self._lost is not None:
             self.abort()
             return
+        self._resume()
         self._http.start_next_cycle()
 
     def _read_keep_alive(self, head: Head) -> None:
