Refuse what is read too late in a stop to be seen to its end

What callers saw, in our own test: an entry that stops passes on a request whose last byte comes 2.2 s after SIGTERM of a grace time of 3 s, and ends 0.2 s later without an answer, also where the request may not be repeated; a stream that was taken as late breaks off.

Cause: the ports are closed early in a stop, and what is in progress is ended with an answer 0.9 s before the grace time is over. A connection on which a body still arrives counts as in progress; its request was taken whenever it was whole, also behind that last look at what is in progress.

Change: once the ports are closed, a request is taken only if its own time is over before requests are ended.

--- a/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/filters/context.py
@@ -174,6 +174,8 @@
             collections.OrderedDict()
         )
         self.on_local_change: Callable[[], None] = lambda: None
+        # Monotonic seconds at which a stop ends what is then in progress.
+        self.ends_at = math.inf
         self._numbers = itertools.count(1)
         self._queues: dict[str, admission.Queue] = {}
         self._workspace_by_digest: dict[str, str] = {}
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -35,6 +35,7 @@
     outage,
     relay,
     routed,
+    stopping,
     suspect,
 )
 from .filters import (
@@ -44,6 +45,7 @@
 LOG = logs.Logger("entry")
 CHAIN = (
     routed.find_route,
+    stopping.check_stop,
     suspect.check_suspect,
     limit.limit,
     outage.check_outage,
@@ -246,6 +248,8 @@
         # A balancer that finds too few ready sends new callers to all; they
         # find another entry at once when nobody listens here.
         await own.stop_listening()
+        left = own.left_of(own.settings.grace) - LAST_ANSWERS
+        self._parts.ends_at = self._clock.monotonic() + left.total_seconds()
         broken_off, left = await self._end_connections()
         self._usage.stop()
         self._suspension.stop()
