--- a/features/platform_silent.feature
+++ b/features/platform_silent.feature
@@ -37,6 +37,11 @@
       | there |
       | back  |
 
+  Scenario: Another connection was heard while the first call was lost
+    Given a store of its own behind a relay, with 3 idle connections
+    When an append is lost while another one is answered, and all go silent
+    Then the next append is answered within 0.2 s
+
   Scenario Outline: A link to <whom> dies (<way>) during its calls
     Given a link to <whom> through a relay
     When the link has been used
--- a/features/steps/silent_store_steps.py
+++ b/features/steps/silent_store_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from reelscale_core import clock
 from reelscale_platform import store as stores
-from twisted.internet import defer, reactor
+from twisted.internet import defer, reactor, task
 
 from features import platform_clients as clients
 from features import silent_relays as relays
@@ -105,6 +105,25 @@
     assert taken_s < seconds, taken_s
 
 
+@when("an append is lost while another one is answered, and all go silent")
+def _(context):
+    made, ended = context.cluster, []
+
+    async def lose_one():
+        made.control(slow_s=0.4)
+        lost = defer.ensureDeferred(context.store.append(TOPIC, 0, [b"lost"]))
+        lost.addErrback(ended.append)
+        # It is on its way before the store is fast again.
+        await task.deferLater(reactor, 0.1)
+        made.control(slow_s=0.0)
+        await context.store.append(TOPIC, 0, [b"heard"])
+        assert context.relay.go_silent() > 0
+        await lost
+
+    assert clients.run_on_reactor(lose_one) is None
+    assert [failed.value.code for failed in ended] == ["log-down"], ended
+
+
 @then("the next append is answered within {seconds:f} s")
 def _(context, seconds):
     outcome, taken_s = _append(context, b"third")
