Silence connections to the store in the soak, and send fewer datagrams

The soak did not silence connections to the store, so it could not have found entries that learn of a change late. A prober asks each entry for the route that the change before has dropped, and counts an answer of a worker later than 2 s after the acknowledgement where the entry was in touch.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/freshness.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/freshness.py
@@ -34,6 +34,9 @@
 # Up to this many seconds earlier, so that the first ones to ask the store
 # confirm the others.
 JITTER_S = 0.2
+# An answer is sent to the others at once if the one before is older, in
+# seconds; others go with the datagrams that are sent anyway.
+TELL_AFTER_S = 0.5
 # Reported age, in seconds, of a source that was never confirmed.
 NEVER_S = 1e6
 
@@ -173,8 +176,9 @@
         the end of the wait.
         """
         now = self._clock.monotonic()
+        is_awaited = now - self._confirmations.own_at > TELL_AFTER_S
         self._confirmations.record_own(min(now, asked_at + wait_s))
-        if self._was_reader:
+        if self._was_reader and is_awaited:
             self.on_answer()
 
     def record_peer(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -221,6 +221,11 @@
 
     # The store.
 
+    @property
+    def store(self) -> str:
+        """Address of the store."""
+        return self._store
+
     def control(self, **faults: Any) -> dict[str, Any]:
         """Set faults of the store; return how it is."""
         url = f"http://{self._store}/control"
--- a/standins/silent.py
+++ b/standins/silent.py
@@ -88,6 +88,10 @@
         self._is_cut = True
         self.go_silent()
 
+    def join(self) -> None:
+        """Pass new connections again; what is open stays silent."""
+        self._is_cut = False
+
     def close(self) -> None:
         """Listen no longer and end all connections."""
         _end(self._listener)
--- a/standins/soak_platform.py
+++ b/standins/soak_platform.py
@@ -1,7 +1,9 @@
 """Runs entries on the platform's stand-ins beside all faults, in series.
 
 Usage: python -m standins.soak_platform --seconds 40 --seed 1 --seeds 5, or
-with --limits, which has as many processes as a small box bears.  Callers use
+with --limits, which has as many processes as a small box bears, or with
+--silent, which silences connections to the store in place of its own faults,
+while the entries that others rely on are away.  Callers use
 their connections until an entry is gone.  Faults begin and end at random and
 overlap: entries stop, reload, are killed and freeze; the store is down, slow,
 loses answers and is restored; workers leave and return, refuse, fail, and
@@ -13,6 +15,7 @@
 
 import argparse
 import collections
+import contextlib
 import random
 import signal
 import sys
@@ -22,7 +25,7 @@
 
 import httpx
 
-from . import fleet, kept_callers
+from . import fleet, kept_callers, silences
 from .process import wait_for
 
 # Statuses that promise that a request has not run.
@@ -38,21 +41,32 @@
 MIN_RECOVERED = 0.25
 # Faults after which an entry stays bound by what it was told.
 NO_EXCUSES = ("leaving", "answers twice", "configuration", "reload")
+WAY_SIGNALS = {"kill": signal.SIGKILL, "stop": signal.SIGTERM}
 MAX_PAUSE_S = 1.5
 MAX_FAULT_S = 3.0
 STOP_S = 10.0
 
 
 class Shape(NamedTuple):
-    """The processes of a run."""
+    """The processes of a run.
+
+    Attributes:
+      entries: Number of entries.
+      workers: Number of workers.
+      callers: Number of callers.
+      silent: Whether connections to the store go silent; the store itself is
+        then sound, and only entries that others rely on are harmed.
+    """
 
     entries: int
     workers: int
     callers: int
+    silent: bool = False
 
 
 USUAL = Shape(entries=2, workers=4, callers=12)
 LIMITS = Shape(entries=8, workers=24, callers=64)
+SILENT = Shape(entries=5, workers=4, callers=6, silent=True)
 
 
 class Fault(NamedTuple):
@@ -83,11 +97,17 @@
       count: How often each kind was brought about.
     """
 
-    def __init__(self, made: fleet.Fleet, seed: int) -> None:
+    def __init__(
+        self,
+        made: fleet.Fleet,
+        seed: int,
+        silent: silences.Silences | None = None,
+    ) -> None:
         self.faults: list[Fault] = []
         self.count: collections.Counter[str] = collections.Counter()
         self._made = made
         self._seed = seed
+        self._silent = silent
         self._until = 0.0
         self._busy: set[str] = set()
         self._lock = threading.Lock()
@@ -95,14 +115,15 @@
     def run(self, seconds: float) -> None:
         """Bring faults of the entries, store and workers about at once."""
         self._until = time.monotonic() + seconds
-        series = (
+        harms = [
             self._harm_entries,
             self._harm_entries,
             self._harm_store,
-            self._harm_workers,
-            self._move_workers,
             self._configure,
-        )
+        ]
+        if self._silent is not None:
+            harms = [self._lose_neighbours, self._move_route]
+        series = (*harms, self._harm_workers, self._move_workers)
         threads = [
             threading.Thread(
                 target=self._repeat,
@@ -195,6 +216,63 @@
         finally:
             self._note(f"store {kind}", "", began)
 
+    def _lose_neighbours(self, source: random.Random) -> None:
+        """Silence reads, then take those away on which others may rely."""
+        for _ in range(source.choice((1, 1, 2))):
+            began = time.monotonic()
+            self._silent.silence()
+            self._note("silence", "", began)
+            time.sleep(source.uniform(0.0, CONTACT_S))
+        threads = [
+            threading.Thread(
+                target=self._take_away,
+                args=(
+                    name,
+                    source.choice(silences.WAYS),
+                    source.uniform(*silences.AWAY_S),
+                ),
+            )
+            for name in silences.RELIED_ON
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _take_away(self, name: str, way: str, seconds: float) -> None:
+        """Take an entry away for a while, and have it back."""
+        began = time.monotonic()
+        process = self._made.processes[name]
+        match way:
+            case "cut":
+                self._silent.cut(name, seconds)
+            case "freeze":
+                process.freeze()
+                time.sleep(seconds)
+                process.thaw()
+            case "kill" | "stop":
+                process.signal(WAY_SIGNALS[way])
+                time.sleep(seconds)
+                wait_for(lambda: not process.running, f"{name} to end", STOP_S)
+                process.start()
+                self._made.wait_ready(name)
+        self._note(way, name, began)
+
+    def _move_route(self, source: random.Random) -> None:
+        began = time.monotonic()
+        self._silent.move_route()
+        self._note("configuration", "", began)
+        silences.pause(source, silences.CHANGES_S)
+
+    def excuses(self, probe: silences.Probe) -> bool:
+        """Return whether an entry was not in touch at a probe."""
+        return any(
+            fault.subject in ("", probe.entry)
+            and fault.kind not in NO_EXCUSES
+            and fault.affects(probe.at, probe.at)
+            for fault in self.faults
+        )
+
     def _harm_workers(self, source: random.Random) -> None:
         """Have faulty workers refuse, and send answers twice."""
         began = time.monotonic()
@@ -331,17 +409,23 @@
         for number in range(shape.workers)
     )
     settings = {"stop_wait_s": 0.3}
-    with fleet.Fleet(
+    made = fleet.Fleet(
         entries=shape.entries, workers=workers, settings=settings
-    ) as made:
-        soak = Soak(made, seed)
+    )
+    silent = silences.Silences(made) if shape.silent else None
+    with made:
+        soak = Soak(made, seed, silent)
         callers = kept_callers.Callers(made, count=shape.callers, seed=seed)
-        with callers:
+        probing = silent.probing() if silent else contextlib.nullcontext()
+        with callers, probing:
             soak.run(seconds)
         made.control(down="", slow_s=0.0, lose_answers=0)
         for name in made.workers:
             made.announce(name)
         broken = broken_rules(made, soak, callers.sent) + recovered(made)
+        if silent is not None:
+            broken += silent.late(soak.excuses)
+            silent.close()
         if broken:
             made.print_logs()
     statuses = collections.Counter(row.status for row in callers.sent)
@@ -356,9 +440,11 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--limits", action="store_true")
+    parser.add_argument("--silent", action="store_true")
     given = parser.parse_args()
     seeds = range(given.seed, given.seed + given.seeds)
     shape = LIMITS if given.limits else USUAL
+    shape = SILENT if given.silent else shape
     broken = [seed for seed in seeds if run(seed, given.seconds, shape)]
     print(f"{len(seeds) - len(broken)} of {len(seeds)} seeds kept all rules")
     return 1 if broken else 0
