--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/config.py
@@ -33,9 +33,8 @@
 
 LOG = logs.Logger("config")
 RETRY_S = 0.25
-# Seconds for which a read waits at the log for new records.  With the client's
-# margin of 0.3 s it must stay below the 3 s within which a configuration has
-# to be in force, as a lost answer delays updates by that much.
+# Seconds for which a read waits at the log for new records where processes
+# confirm nothing to each other; a lost answer delays updates by that much.
 POLL_S = 2.2
 PEER_TIMEOUT_S = 2.0
 # Peers queried at a time, which limits the load during an outage of the log.
--- a/standins/soak_platform.py
+++ b/standins/soak_platform.py
@@ -25,22 +25,9 @@
 
 import httpx
 
-from . import fleet, kept_callers, silences
+from . import fleet, kept_callers, silences, soak_rules
 from .process import wait_for
 
-# Statuses that promise that a request has not run.
-PROMISES = (408, 421, 429, 503)
-# From an acknowledged leaving until a worker gets nothing more, in seconds.
-DRAIN_S = 2.0
-# How long a fault may excuse what follows it, in seconds.
-CONTACT_S = 3.0
-# Requests whose connection a stopping entry may close unanswered.
-MAX_LOST = 3
-# After all faults, within which requests are served again, in seconds.
-RECOVERY_S = 12.0
-MIN_RECOVERED = 0.25
-# Faults after which an entry stays bound by what it was told.
-NO_EXCUSES = ("leaving", "answers twice", "configuration", "reload")
 WAY_SIGNALS = {"kill": signal.SIGKILL, "stop": signal.SIGTERM}
 MAX_PAUSE_S = 1.5
 MAX_FAULT_S = 3.0
@@ -69,26 +56,6 @@
 SILENT = Shape(entries=5, workers=4, callers=6, silent=True)
 
 
-class Fault(NamedTuple):
-    """One fault that was brought about.
-
-    Attributes:
-      kind: Its name.
-      subject: The entry or worker, "" for the store.
-      from_s: Monotonic seconds of its begin.
-      to_s: Monotonic seconds of its end.
-    """
-
-    kind: str
-    subject: str
-    from_s: float
-    to_s: float
-
-    def affects(self, first: float, last: float) -> bool:
-        """Return whether it may excuse what happened in a time."""
-        return self.from_s <= last and first <= self.to_s + CONTACT_S
-
-
 class Soak:
     """One run.
 
@@ -103,7 +70,7 @@
         seed: int,
         silent: silences.Silences | None = None,
     ) -> None:
-        self.faults: list[Fault] = []
+        self.faults: list[soak_rules.Fault] = []
         self.count: collections.Counter[str] = collections.Counter()
         self._made = made
         self._seed = seed
@@ -147,7 +114,7 @@
 
     def _note(self, kind: str, subject: str, from_s: float) -> None:
         self.count[kind] += 1
-        row = Fault(kind, subject, from_s, time.monotonic())
+        row = soak_rules.Fault(kind, subject, from_s, time.monotonic())
         self.faults.append(row)
 
     def _claim(self, source: random.Random, names: list[str]) -> str:
@@ -222,7 +189,7 @@
             began = time.monotonic()
             self._silent.silence()
             self._note("silence", "", began)
-            time.sleep(source.uniform(0.0, CONTACT_S))
+            time.sleep(source.uniform(0.0, soak_rules.CONTACT_S))
         threads = [
             threading.Thread(
                 target=self._take_away,
@@ -268,7 +235,7 @@
         """Return whether an entry was not in touch at a probe."""
         return any(
             fault.subject in ("", probe.entry)
-            and fault.kind not in NO_EXCUSES
+            and fault.kind not in soak_rules.NO_EXCUSES
             and fault.affects(probe.at, probe.at)
             for fault in self.faults
         )
@@ -301,7 +268,7 @@
         else:
             self._made.withdraw(name)
         left_at = time.monotonic()
-        time.sleep(DRAIN_S + source.uniform(0.5, MAX_FAULT_S))
+        time.sleep(soak_rules.DRAIN_S + source.uniform(0.5, MAX_FAULT_S))
         self._note("leaving", name, left_at)
         self._made.announce(name)
 
@@ -312,95 +279,6 @@
         self._note("configuration", "", began)
 
 
-def broken_rules(
-    made: fleet.Fleet, soak: Soak, sent: list[kept_callers.Sent]
-) -> list[str]:
-    """Return what was broken, in words."""
-    runs = collections.Counter(run["id"] for run in made.ledger())
-    broken = []
-    for row in sent:
-        ran = runs[row.id]
-        if row.kind == "push" and row.status in PROMISES and ran:
-            broken.append(f"REFUSED: {row.id} got {row.status} and has run")
-        if row.kind == "push" and ran > 1:
-            broken.append(f"TWICE: {row.id} ran {ran} times")
-        if row.status == 200 and row.body is not None and not _is_right(row):
-            broken.append(f"MIXED: {row.id} got {row.body[:60]!r}")
-    lost = [row for row in sent if _is_lost(row, runs, soak.faults)]
-    if len(lost) > MAX_LOST:
-        ids = [row.id for row in lost]
-        broken.append(f"LOST: {len(lost)} without an answer: {ids[:5]}")
-    return broken + late_arrivals(made, soak.faults)
-
-
-def _is_right(row: kept_callers.Sent) -> bool:
-    """Return whether a complete answer is the request's own."""
-    if row.kind == "chat":
-        wanted = "".join(
-            f"id: {number}\ndata: {text}\n\n"
-            for number, text in enumerate(fleet.STREAM, 1)
-        )
-        return row.body == wanted.encode()
-    return row.body == f"whole answer of {row.id}".encode()
-
-
-def _is_lost(
-    row: kept_callers.Sent,
-    runs: collections.Counter[str],
-    faults: list[Fault],
-) -> bool:
-    """Return whether an answer was lost although only a stop was planned."""
-    if row.status or not runs[row.id] or row.kind == "chat":
-        return False
-    excuses = ("kill", "freeze")
-    return not any(
-        fault.kind in excuses
-        and fault.subject == row.entry
-        and fault.affects(row.at, row.ended_at)
-        for fault in faults
-    )
-
-
-def late_arrivals(made: fleet.Fleet, faults: list[Fault]) -> list[str]:
-    """Return arrivals at workers that had left, where nothing excuses them.
-
-    While the store is impaired its acknowledgement counts for nothing, and an
-    entry that was impaired is not in touch.
-    """
-    broken = []
-    impaired = [f for f in faults if f.kind not in NO_EXCUSES]
-    for fault in faults:
-        if fault.kind != "leaving":
-            continue
-        late_s = fault.from_s + DRAIN_S
-        arrivals = [
-            row["at"]
-            for row in made.worker(fault.subject)["reached"]
-            if row["id"] and late_s < row["at"] < fault.to_s
-        ]
-        unexcused = [
-            at
-            for at in arrivals
-            if not any(f.affects(fault.from_s, at) for f in impaired)
-        ]
-        if unexcused:
-            broken.append(f"DRAIN: {len(unexcused)} at {fault.subject}")
-    return broken
-
-
-def recovered(made: fleet.Fleet) -> list[str]:
-    """Return the kinds of request that entries do not serve again in time."""
-    time.sleep(RECOVERY_S)
-    broken = []
-    for entry in made.http:
-        for kind in kept_callers.WORDS_BY_KIND:
-            answers = [made.ask(f"/{kind}/x", entry=entry) for _ in range(8)]
-            served = sum(row.is_success for row in answers)
-            if served < MIN_RECOVERED * len(answers):
-                broken.append(f"RECOVER: {entry} served {served} of {kind}")
-    return broken
-
-
 def run(seed: int, seconds: float, shape: Shape = USUAL) -> list[str]:
     """Run one seed; return what was broken."""
     halls = ("a", "b")
@@ -422,7 +300,8 @@
         made.control(down="", slow_s=0.0, lose_answers=0)
         for name in made.workers:
             made.announce(name)
-        broken = broken_rules(made, soak, callers.sent) + recovered(made)
+        broken = soak_rules.broken_rules(made, soak.faults, callers.sent)
+        broken += soak_rules.recovered(made)
         if silent is not None:
             broken += silent.late(soak.excuses)
             silent.close()
