--- a/features/backoff.feature
+++ b/features/backoff.feature
@@ -11,7 +11,7 @@
     Examples:
       | fault            | count |
       | heeding          | 10    |
-      | openings         | 20    |
+      | openings         | 60    |
       | lists            | 20    |
 
   Scenario: A new start of an upstream gets requests at once
