Have the HTTP client forget connections after a lost call, not the adapter

The option to open a connection for a single call has no user left and goes. `Exchange` of controllers/freshness.py is `AgeUpdates`, as it is one of the updates in datagrams.

--- a/packages/reelscale-daemon/src/reelscale_daemon/controllers/freshness.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/controllers/freshness.py
@@ -243,7 +243,7 @@
         self._call = self._reactor.callLater(max(left_s, 0.0), self._check)
 
 
-class Exchange:
+class AgeUpdates:
     """Sends the ages of the store's answers to peers in the datagrams."""
 
     def __init__(self, *, configuration: Freshness, roster: Freshness) -> None:
--- a/packages/reelscale-daemon/src/reelscale_daemon/exchange/client.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/exchange/client.py
@@ -1,4 +1,8 @@
-"""HTTP client for one address; each call returns a complete answer."""
+"""HTTP client for one address; each call returns a complete answer.
+
+What silenced the connection of a call without an answer may have silenced all
+that were open: the next call opens one, and none of those is used again.
+"""
 
 __copyright__ = "Copyright 2026 The reelscale maintainers"
 __license__ = "Apache-2.0"
@@ -21,6 +25,7 @@
         self._reactor = reactor
         self._connections = connections
         self._address = address
+        self._is_doubtful = False
 
     async def request(
         self,
@@ -30,7 +35,6 @@
         query: Mapping[str, Any] | None = None,
         body: bytes = b"",
         timeout_s: float,
-        new_connection: bool = False,
         only_new: bool = False,
     ) -> fetch.Response:
         """Send a request; ExchangeError if there is no answer in time.
@@ -41,11 +45,12 @@
           query: Query parameters.
           body: JSON body, empty for none.
           timeout_s: Time-out of the whole exchange, in seconds.
-          new_connection: Whether to open a connection for it.
-          only_new: Whether to do so, and to reuse none for later requests
-            that was opened before: where answers have no id, a late copy of
-            an earlier one could be taken for what follows.
+          only_new: Whether to open a connection for it, and to reuse none for
+            later requests that was opened before: where answers have no id, a
+            late copy of an earlier one could be taken for what follows.
         """
+        only_new = only_new or self._is_doubtful
+        self._is_doubtful = False
         if only_new:
             self._connections.retire(self._address)
         target = path
@@ -54,13 +59,18 @@
         headers = [(b"Host", self._address.encode())]
         if body:
             headers.append(JSON)
-        return await fetch.fetch(
-            self._connections,
-            self._address,
-            connection.Request(
-                method.encode(), target.encode(), headers, body
-            ),
-            reactor=self._reactor,
-            timeout_s=timeout_s,
-            new_connection=new_connection or only_new,
+        request = connection.Request(
+            method.encode(), target.encode(), headers, body
         )
+        try:
+            return await fetch.fetch(
+                self._connections,
+                self._address,
+                request,
+                reactor=self._reactor,
+                timeout_s=timeout_s,
+                new_connection=only_new,
+            )
+        except connection.ExchangeError as lost:
+            self._is_doubtful |= lost.code == "timeout"
+            raise
--- a/packages/reelscale-daemon/src/reelscale_daemon/front.py
+++ b/packages/reelscale-daemon/src/reelscale_daemon/front.py
@@ -94,7 +94,7 @@
             peer_lead_s=PEER_LEAD_S,
             reads=self._configuration_reads,
         )
-        self._freshness = freshness.Exchange(
+        self._ages = freshness.AgeUpdates(
             configuration=self._configuration_reads, roster=self._roster_reads
         )
         self._usage = self._make_usage()
@@ -203,12 +203,12 @@
         self._configuration_reads.on_answer = self._usage.changed
         self._roster_reads.on_answer = self._usage.changed
         self._usage.on_removed.append(self._suspects.forget)
-        self._usage.on_removed.append(self._freshness.forget)
+        self._usage.on_removed.append(self._ages.forget)
         self._suspects.on_convicted.append(
             lambda: suspect.refuse_waiting(self._parts)
         )
         self._usage.updates = (
-            self._freshness,
+            self._ages,
             self._directory.rate_limits,
             self._suspects,
         )
